--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,605 @@
+// marldale's decisions. The interface (settings, events, actions) is policy.h; no wire is known here.
+//
+// Parts, in this order, each owning its state:
+//   1 fleet view   2 table store and push   3 pacer   4 withdrawals   5 slow start   6 health
+//   7 levels and retries   8 joins and restart; last, sites with slices.
+#include "policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace marldale {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSecond = 1000 * kMs;
+
+// ---- Tuned values, all of them ----
+constexpr Micros kTick = 200 * kMs;             // how often held changes and health are looked at
+constexpr Micros kMarkTimeout = 3 * kSecond;    // an unanswered mark holds later changes this long
+constexpr Micros kFoldAfter = 2 * kSecond;      // a copy lives at least this long before it is folded back
+constexpr double kBacklogShare = 0.5;           // of the allowed backlog we fill this much
+constexpr double kSlowChannel = 8;              // the channel may run this many times slower than told
+constexpr std::uint32_t kMessageReserve = 4;    // messages to a proxy kept for what the rules demand
+constexpr double kRampFrom = 0.25;              // weight of a server that has just started
+constexpr Micros kRampStep = 2 * kSecond;
+constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
+constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
+constexpr double kEjectTries = 4;               // on at least so many recent tries
+constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
+constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
+constexpr Micros kEjectForMost = 16 * kSecond;
+constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
+constexpr Micros kTrialFor = 4 * kSecond;
+constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
+constexpr double kHotTime = 0.45;
+constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
+
+using Hash = std::uint64_t;
+using Key = std::uint64_t;  // a server's id, or kLevelKey + class
+constexpr Key kLevelKey = Key{1} << 32U;
+
+Hash hashOf(float value, unsigned mode) {
+    Hash h = 1469598103934665603ULL;
+    const auto mix = [&h](std::uint64_t x) { h = (h ^ x) * 1099511628211ULL; h ^= h >> 29U; };
+    mix(static_cast<std::uint64_t>(std::llround(static_cast<double>(value) * 4096)));
+    mix(mode);
+    return h | 1U;  // 0 stands for "no such line"
+}
+
+// Factors move in steps of a quarter octave, so that noise in what they come from sends no orders.
+double stepped(double factor) { return factor <= 0 ? 0 : std::exp2(std::round(std::log2(factor) * 4) / 4); }
+
+struct Decaying {  // tries and failures, fading
+    double tries = 0, failed = 0, time = 0, good = 0;
+    Micros at = 0;
+    void fade(Micros now) {
+        const double keep = std::exp2(-static_cast<double>(now - at) / (kStatHalfLifeS * kSecond));
+        tries *= keep; failed *= keep; time *= keep; good *= keep;
+        at = now;
+    }
+    [[nodiscard]] double ratio() const { return tries > 0 ? failed / tries : 0; }
+    [[nodiscard]] double mean() const { return good > 0 ? time / good : 0; }
+};
+
+}  // namespace
+
+struct Planner::State {
+    explicit State(Settings settings) : set(std::move(settings)) { makeGroups(); }
+
+    const Settings set;
+    Micros now = 0;
+    std::vector<Action> out;
+
+    // ======== 1. Fleet view ========
+    struct Server {
+        ListEntry entry;
+        bool withdrawn = false;
+        [[nodiscard]] double weight() const { return entry.weight > 0 ? entry.weight : 1; }
+        [[nodiscard]] bool ready() const { return entry.state == ServerState::ready; }
+    };
+    std::map<ServerId, Server> fleet;
+
+    void onList(const ListNews& news) {
+        if (news.kind == ListNewsKind::failed) return askForList();
+        std::set<ServerId> named;
+        for (const ListEntry& entry : news.entries) {
+            named.insert(entry.server);
+            fleet[entry.server].entry = entry;
+        }
+        if (news.kind == ListNewsKind::delta) return;
+        for (auto& [id, server] : fleet) {
+            if (!named.count(id)) server.entry.state = ServerState::gone;  // a whole list replaces the old one
+        }
+    }
+    bool asked = false;
+    void askForList() {
+        if (!set.listOnRequest) return;
+        out.push_back(Subscribe{true});
+        asked = true;
+    }
+    [[nodiscard]] Micros age(const Server& s) const {
+        return s.entry.bootTime == 0 ? set.warmUp : std::max<Micros>(0, now - s.entry.bootTime);
+    }
+    [[nodiscard]] bool warm(const Server& s) const { return age(s) >= set.warmUp; }
+
+    // Classes with the same zones open to them share tables.
+    struct Group {
+        ClassMask classes = 0;
+        std::uint32_t zones = ~0U;
+        bool ownZoneOnly = false;
+        [[nodiscard]] bool opens(ZoneId zone) const { return ((zones >> zone) & 1U) != 0; }
+    };
+    std::vector<Group> groups;
+    void makeGroups() {
+        for (std::size_t c = 0; c < set.classes.size(); ++c) {
+            const ClassSettings& k = set.classes[c];
+            auto at = std::find_if(groups.begin(), groups.end(), [&](const Group& g) {
+                return g.zones == k.zones && g.ownZoneOnly == k.ownZoneOnly;
+            });
+            if (at == groups.end()) at = groups.insert(groups.end(), Group{0, k.zones, k.ownZoneOnly});
+            at->classes = static_cast<ClassMask>(at->classes | (1U << c));
+        }
+        if (groups.size() == 1) groups[0].classes = 0;
+    }
+
+    // ======== 2. Table store and push (DESIGN steps 1 to 6) ========
+    struct Entry {
+        float value = 0;
+        std::uint8_t mode = 0;
+    };
+    using Content = std::map<Key, Entry>;
+    struct Table {
+        ZoneId zone = 0;
+        std::size_t group = 0;
+        bool copy = false;
+        std::map<Key, Hash> acked, pending;  // hashes of answered lines, and of those under an open mark
+        std::uint64_t markTurn = 0;
+        Micros markedAt = 0, madeAt = 0;
+        std::set<ProxyId> bound, unanswered;
+        [[nodiscard]] Hash held(Key key) const {
+            if (const auto p = pending.find(key); p != pending.end()) return p->second;
+            const auto a = acked.find(key);
+            return a == acked.end() ? 0 : a->second;
+        }
+        void settle() {  // an answer moves marked lines into the acknowledged hashes
+            for (const auto& [key, hash] : pending) {
+                if (hash == 0) acked.erase(key); else acked[key] = hash;
+            }
+            pending.clear();
+            unanswered.clear();
+        }
+    };
+    std::map<TableId, Table> tables;
+    std::map<std::pair<ZoneId, std::size_t>, TableId> mains;
+    TableId lastTable = 0;
+    std::uint64_t turnNumber = 0;
+
+    struct Proxy {
+        ZoneId zone = 0;
+        double rate = 0;
+        std::vector<TableId> tables;  // by group
+        std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
+        std::deque<Micros> messages;      // when it was written, within the window
+    };
+    std::map<ProxyId, Proxy> proxies;
+    std::set<ProxyId> written;  // proxies that get a message this turn
+    double turnLines = 0;
+    bool ordered = false;
+
+    [[nodiscard]] Content content(ZoneId zone, std::size_t group) const {
+        Content c;
+        const Group& g = groups[group];
+        for (const auto& [id, s] : fleet) {
+            if (!s.ready() || !g.opens(s.entry.zone)) continue;
+            const bool local = s.entry.zone == zone;
+            if (!local && g.ownZoneOnly) continue;
+            const double factor = ramp(s) * health(zone, id) * (local ? 1.0 : spillOf(zone));
+            if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
+        }
+        if (c.empty()) {  // never leave a table without a line while anything is ready
+            for (const auto& [id, s] : fleet) {
+                if (s.ready() && g.opens(s.entry.zone)) c[id] = {static_cast<float>(s.weight() * ramp(s)), 0};
+            }
+        }
+        addLevels(c, g);
+        return c;
+    }
+
+    void order(TableId id, Key key, const Entry& entry) {
+        if (key >= kLevelKey) {
+            out.push_back(SetLevel{id, entry.value, static_cast<ClassMask>(1U << (key - kLevelKey)), entry.mode});
+        } else {
+            out.push_back(SetLine{id, static_cast<ServerId>(key), entry.value});
+        }
+    }
+    void mark(Table& t, const std::set<ProxyId>& by) {
+        t.markTurn = turnNumber;
+        t.markedAt = now;
+        t.unanswered.insert(by.begin(), by.end());
+    }
+
+    // Sends what differs, or holds it until the open mark is answered or has run out.
+    void push(TableId id, Table& t) {
+        const Content want = content(t.zone, t.group);
+        Content diff;
+        bool urgent = false;
+        for (const auto& [key, entry] : want) {
+            if (t.held(key) != hashOf(entry.value, entry.mode)) diff[key] = entry;
+        }
+        const auto drop = [&](const std::map<Key, Hash>& lines) {
+            for (const auto& [key, hash] : lines) {
+                if (key < kLevelKey && hash != 0 && !want.count(key) && t.held(key) != 0) diff[key] = {0, 0};
+            }
+        };
+        drop(t.acked);
+        drop(t.pending);
+        for (const auto& [key, entry] : diff) urgent = urgent || urgentCut(key, t.zone);
+        if (diff.empty() || (!t.unanswered.empty() && !urgent)) return;
+        if (!t.bound.empty() && !mayWrite(t.bound, static_cast<double>(diff.size()), urgent)) return;
+        for (const auto& [key, entry] : diff) {
+            order(id, key, entry);
+            t.pending[key] = entry.value > 0 || key >= kLevelKey ? hashOf(entry.value, entry.mode) : 0;
+        }
+        mark(t, t.bound);
+        for (const ProxyId p : t.bound) write(p, static_cast<double>(diff.size()));
+        if (t.bound.empty()) t.settle();
+    }
+
+    TableId layTable(ZoneId zone, std::size_t group, bool copy) {
+        do {
+            lastTable = static_cast<TableId>(lastTable % (kAllTables - 1) + 1);
+        } while (tables.count(lastTable));
+        Table& t = tables[lastTable];
+        t.zone = zone;
+        t.group = group;
+        t.copy = copy;
+        t.madeAt = now;
+        push(lastTable, t);
+        return lastTable;
+    }
+    void release(ProxyId id, TableId table) {
+        const auto at = tables.find(table);
+        if (at == tables.end()) return;
+        at->second.bound.erase(id);
+        at->second.unanswered.erase(id);
+        if (at->second.unanswered.empty()) at->second.settle();
+    }
+    void bind(ProxyId id, TableId table) {
+        Proxy& p = proxies.at(id);
+        Table& t = tables.at(table);
+        p.tables.resize(groups.size(), 0);
+        release(id, p.tables[t.group]);
+        p.tables[t.group] = table;
+        t.bound.insert(id);
+        out.push_back(Bind{id, table, groups[t.group].classes});
+        mark(t, {id});
+        write(id, 1 + static_cast<double>(t.acked.size() + t.pending.size()));
+    }
+    // A fresh marked copy of a zone's table for these proxies; it is the main table where there is none.
+    void bindFresh(const std::set<ProxyId>& ids, ZoneId zone, std::size_t group) {
+        const auto at = mains.find({zone, group});
+        const bool alone = at == mains.end() || tables.at(at->second).bound.empty();
+        const TableId fresh = layTable(zone, group, !alone);
+        if (alone) {
+            if (at != mains.end()) {
+                out.push_back(DropLines{at->second});
+                tables.erase(at->second);
+            }
+            mains[{zone, group}] = fresh;
+        }
+        for (const ProxyId id : ids) bind(id, fresh);
+    }
+    // Where a group's requests go: the proxy's own zone if it has an open warm server, else another zone.
+    [[nodiscard]] ZoneId homeZone(ProxyId id, ZoneId zone, const Group& g) const {
+        std::set<ZoneId> open;
+        for (const auto& [sid, s] : fleet) {
+            if (s.ready() && warm(s) && g.opens(s.entry.zone)) open.insert(s.entry.zone);
+        }
+        if (open.empty() || open.count(zone) || g.ownZoneOnly) return zone;
+        return *std::next(open.begin(), static_cast<std::ptrdiff_t>(id % open.size()));
+    }
+
+    void onAnswer(const Acknowledged& a) {
+        const auto at = proxies.find(a.proxy);
+        if (at == proxies.end()) return;
+        auto& marks = at->second.marks;
+        const auto hit = std::find_if(marks.begin(), marks.end(),
+                                      [&](std::uint64_t t) { return (t & 0xffffU) == a.mark; });
+        if (hit == marks.end()) return;
+        const std::uint64_t turn = *hit;
+        marks.erase(marks.begin(), hit + 1);
+        channelReached(turn);
+        for (const TableId id : at->second.tables) {
+            const auto t = tables.find(id);
+            if (t == tables.end() || turn < t->second.markTurn) continue;
+            t->second.unanswered.erase(a.proxy);
+            if (t->second.unanswered.empty()) t->second.settle();
+        }
+    }
+    // The timeout releases the wait; silent proxies go to a copy, so that the others are not held up.
+    void releaseSilent() {
+        std::vector<std::pair<TableId, std::set<ProxyId>>> late;
+        for (auto& [id, t] : tables) {
+            if (!t.unanswered.empty() && now - t.markedAt >= kMarkTimeout) late.emplace_back(id, t.unanswered);
+        }
+        for (const auto& [id, silent] : late) {
+            Table& t = tables.at(id);
+            t.settle();
+            if (t.copy || silent.size() == t.bound.size() || !mayWrite(silent, 40, false)) continue;
+            bindFresh(silent, t.zone, t.group);
+        }
+    }
+    // Copies that say the same as their main table are folded back, so that tables stay few and shared.
+    void foldCopies() {
+        for (auto at = tables.begin(); at != tables.end();) {
+            auto& [id, t] = *at;
+            if (t.copy && t.bound.empty()) {
+                out.push_back(DropLines{id});
+                at = tables.erase(at);
+                continue;
+            }
+            Table& main = tables.at(mains.at({t.zone, t.group}));
+            if (t.copy && t.unanswered.empty() && main.unanswered.empty() && now - t.madeAt >= kFoldAfter &&
+                t.acked == main.acked && mayWrite(t.bound, 1 + static_cast<double>(t.acked.size()), false)) {
+                const std::set<ProxyId> ids = t.bound;
+                for (const ProxyId p : ids) bind(p, mains.at({t.zone, t.group}));
+                continue;
+            }
+            ++at;
+        }
+    }
+
+    // ======== 3. Pacer ========
+    // Answers come in the channel's order, so all that was ordered before an answered turn has left the
+    // channel. What may still wait is therefore counted, not guessed, whatever the channel's speed.
+    struct Sent {
+        std::uint64_t turn = 0;
+        Micros at = 0;
+        double lines = 0;
+    };
+    std::deque<Sent> channel;
+    double waiting = 0;
+
+    void channelReached(std::uint64_t turn) {
+        while (!channel.empty() && channel.front().turn < turn) {
+            waiting -= channel.front().lines;
+            channel.pop_front();
+        }
+    }
+    void drainChannel() {  // proxies that never answer: a channel at its slowest has still sent this much
+        while (!channel.empty() &&
+               static_cast<double>(now - channel.front().at) / kSecond * set.pushRate / kSlowChannel > waiting) {
+            waiting -= channel.front().lines;
+            channel.pop_front();
+        }
+    }
+    [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) {
+        const double cap = set.backlogLines * kBacklogShare * (urgent ? 1.6 : 1.0);
+        const double more = static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1);
+        if (waiting + turnLines + more > cap) return false;
+        if (set.messagesMost == 0) return true;
+        const std::uint32_t most = set.messagesMost - (urgent ? 1 : std::min(kMessageReserve, set.messagesMost / 2));
+        return std::all_of(ids.begin(), ids.end(), [&](ProxyId id) {
+            auto& times = proxies.at(id).messages;
+            while (!times.empty() && now - times.front() > set.messagesOver) times.pop_front();
+            return written.count(id) || times.size() < most;
+        });
+    }
+    void write(ProxyId id, double lines) {
+        ordered = true;
+        turnLines += lines;
+        if (!written.insert(id).second) return;
+        turnLines += set.envelopeLines + 1;  // the head, and the mark's own line
+        proxies.at(id).messages.push_back(now);
+        proxies.at(id).marks.push_back(turnNumber);
+    }
+    void closeTurn() {
+        if (ordered) {
+            out.push_back(Mark{static_cast<std::uint16_t>(turnNumber & 0xffffU), false});
+            channel.push_back({turnNumber, now, turnLines});
+            waiting += turnLines;
+        }
+        ++turnNumber;
+        ordered = false;
+        turnLines = 0;
+        written.clear();
+    }
+
+    // ======== 4. Withdrawals (DESIGN step 7) ========
+    void withdraw() {
+        for (auto& [id, s] : fleet) {
+            const bool out_ = !s.ready();
+            if (out_ == s.withdrawn) continue;
+            s.withdrawn = out_;
+            out.push_back(Withdraw{id, out_});
+            for (const auto& [p, proxy] : proxies) write(p, 1);
+        }
+    }
+
+    // ======== 5. Slow start ========
+    [[nodiscard]] double ramp(const Server& s) const {
+        if (warm(s) || set.warmUp <= 0) return 1;
+        const double from = std::min(kRampFrom, set.coldShare);
+        const auto step = static_cast<double>(age(s) / kRampStep * kRampStep);
+        return from + (1 - from) * step / static_cast<double>(set.warmUp);
+    }
+
+    // ======== 6. Health ========
+    enum class Fit { ok, ejected, trial };
+    struct Health {
+        Fit fit = Fit::ok;
+        Micros until = 0, backoff = kEjectFor, countFrom = 0;
+        Decaying seen;
+    };
+    std::map<std::pair<ZoneId, ServerId>, Health> healths;
+
+    [[nodiscard]] double health(ZoneId zone, ServerId id) const {
+        const auto at = healths.find({zone, id});
+        if (at == healths.end() || at->second.fit == Fit::ok) return 1;
+        return at->second.fit == Fit::trial ? kTrialWeight : 0;
+    }
+    [[nodiscard]] bool urgentCut(Key key, ZoneId zone) const {
+        if (key >= kLevelKey) return false;
+        const auto s = fleet.find(static_cast<ServerId>(key));
+        if (s == fleet.end() || !s->second.ready()) return false;  // withdrawn already
+        return health(zone, s->first) == 0 || age(s->second) < kRampStep;
+    }
+    void onSums(const ServerSums& r) {
+        if (!fleet.count(r.server)) return;
+        Health& h = healths[{r.fromZone, r.server}];
+        if (now < h.countFrom) return;
+        h.seen.fade(now);
+        h.seen.tries += r.tries;
+        h.seen.failed += r.failed;
+        if (r.tries > r.failed) {
+            h.seen.good += r.tries - r.failed;
+            h.seen.time += static_cast<double>(r.meanTime) * (r.tries - r.failed);
+        }
+    }
+    void judge() {
+        std::vector<double> ratios;
+        std::size_t ready = 0;
+        for (const auto& [id, s] : fleet) ready += s.ready();
+        std::map<ZoneId, double> ejected;
+        for (auto& [key, h] : healths) {
+            h.seen.fade(now);
+            if (h.fit == Fit::ejected) ejected[key.first] += 1;
+            if (h.fit != Fit::ejected && h.seen.tries >= 1) ratios.push_back(h.seen.ratio());
+        }
+        double usual = 0;
+        if (!ratios.empty()) {
+            std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2), ratios.end());
+            usual = ratios[ratios.size() / 2];
+        }
+        for (auto& [key, h] : healths) {
+            const double ratio = h.seen.ratio();
+            switch (h.fit) {
+                case Fit::ok:
+                case Fit::trial: {
+                    const double least = h.fit == Fit::trial ? 2 : kEjectTries;
+                    if (h.seen.tries >= least && ratio >= kEjectRatio && ratio > 3 * usual &&
+                        ejected[key.first] + 1 <= kEjectMost * static_cast<double>(ready)) {
+                        if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
+                        h.fit = Fit::ejected;
+                        h.until = now + h.backoff;
+                        h.seen = {};
+                        h.countFrom = h.until + set.reportEvery + kSecond;
+                        ejected[key.first] += 1;
+                    } else if (h.fit == Fit::trial && now >= h.until) {
+                        h.fit = Fit::ok;
+                    }
+                    break;
+                }
+                case Fit::ejected:
+                    if (now >= h.until) {
+                        h.fit = Fit::trial;
+                        h.until = now + kTrialFor + set.reportEvery + kSecond;
+                    }
+                    break;
+            }
+        }
+    }
+
+    // A zone's own servers carry its requests while they have slack. The exception: where they are
+    // proven hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
+    struct Spill {
+        double share = 1;
+        Micros calmSince = 0;
+    };
+    std::map<ZoneId, Spill> spills;
+    [[nodiscard]] double spillOf(ZoneId zone) const {
+        const auto at = spills.find(zone);
+        return at == spills.end() ? 1 : at->second.share;
+    }
+    void spread() {
+        double aim = 1e18;
+        for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
+        Decaying all;
+        bool troubled = false;
+        for (const auto& [key, h] : healths) {
+            all.tries += h.seen.tries; all.failed += h.seen.failed;
+            all.good += h.seen.good; all.time += h.seen.time;
+            troubled = troubled || h.fit != Fit::ok;
+        }
+        for (ZoneId z = 0; z < set.zones; ++z) {
+            Spill& s = spills[z];
+            if (s.calmSince == 0) s.calmSince = now;
+            const bool hot = all.mean() > kHotTime * aim || all.ratio() > 0.05 || troubled;
+            const bool calm = all.good >= 20 && all.mean() < kCoolTime * aim && all.ratio() < 0.02 && !troubled;
+            if (hot) s.share = 1;
+            if (!calm) s.calmSince = now;
+            if (now - s.calmSince < kCoolHold) continue;
+            s.share = s.share > 0.2 ? s.share / 2 : 0;
+            s.calmSince = now;
+        }
+    }
+
+    // ======== 7. Levels and retries ========
+    void addLevels(Content&, const Group&) const {}
+
+    // ======== 8. Joins and restart ========
+    void onJoin(const ProxyJoined& j) {
+        onLeft({j.proxy});
+        proxies[j.proxy].zone = j.zone;
+        proxies[j.proxy].rate = j.usualRate;
+        joined.insert(j.proxy);
+    }
+    void onLeft(const ProxyLeft& l) {
+        const auto at = proxies.find(l.proxy);
+        if (at == proxies.end()) return;
+        for (const TableId t : at->second.tables) release(l.proxy, t);
+        proxies.erase(at);
+        joined.erase(l.proxy);
+    }
+    std::set<ProxyId> joined;
+    void bindJoined() {
+        if (fleet.empty()) return;
+        std::map<std::pair<ZoneId, std::size_t>, std::set<ProxyId>> fresh;
+        for (const ProxyId id : joined) {
+            for (std::size_t g = 0; g < groups.size(); ++g) {
+                fresh[{homeZone(id, proxies.at(id).zone, groups[g]), g}].insert(id);
+            }
+        }
+        for (const auto& [at, ids] : fresh) bindFresh(ids, at.first, at.second);
+        joined.clear();
+    }
+    void rebind() {
+        for (auto& [id, p] : proxies) {
+            for (std::size_t g = 0; g < p.tables.size(); ++g) {
+                const ZoneId home = homeZone(id, p.zone, groups[g]);
+                if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, 40, true)) continue;
+                const auto main = mains.find({home, g});
+                if (main == mains.end()) bindFresh({id}, home, g); else bind(id, main->second);
+            }
+        }
+    }
+
+    // ======== The turn ========
+    Micros nextTick = 0;
+    bool started = false;
+
+    void handle(const Event& event) {
+        if (const auto* e = std::get_if<ListNews>(&event)) onList(*e);
+        if (const auto* e = std::get_if<ProxyJoined>(&event)) onJoin(*e);
+        if (const auto* e = std::get_if<ProxyLeft>(&event)) onLeft(*e);
+        if (const auto* e = std::get_if<ServerSums>(&event)) onSums(*e);
+        if (const auto* e = std::get_if<Acknowledged>(&event)) onAnswer(*e);
+    }
+    void turn(const std::vector<Event>& events) {
+        if (!started) askForList();
+        started = true;
+        for (const Event& event : events) handle(event);
+        drainChannel();
+        withdraw();
+        bindJoined();
+        if (now >= nextTick) {
+            judge();
+            spread();
+            nextTick = now + kTick;
+            out.push_back(ArmTimer{kTick, 0});
+        }
+        rebind();
+        for (auto& [id, t] : tables) push(id, t);
+        releaseSilent();
+        foldCopies();
+        closeTurn();
+    }
+};
+
+Planner::Planner(Settings settings) : state_(std::make_unique<State>(std::move(settings))) {}
+Planner::~Planner() = default;
+Planner::Planner(Planner&&) noexcept = default;
+Planner& Planner::operator=(Planner&&) noexcept = default;
+
+std::vector<Action> Planner::turn(Micros now, const std::vector<Event>& events) {
+    state_->now = now;
+    state_->out.clear();
+    state_->turn(events);
+    return std::move(state_->out);
+}
+
+}  // namespace marldale
