--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,6 +34,10 @@
 constexpr Micros kEjectForMost = 16 * kSecond;
 constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
+constexpr double kShiftGain = 0.3;              // how strongly a server's slowness moves its weight
+constexpr Micros kShiftEvery = kSecond;
+constexpr double kShiftLeast = 0.25, kShiftMost = 2;
+constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
 constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
 constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
@@ -177,7 +181,7 @@
             if (!s.ready() || !g.opens(s.entry.zone)) continue;
             const bool local = s.entry.zone == zone;
             if (!local && g.ownZoneOnly) continue;
-            const double factor = ramp(s) * health(zone, id) * (local ? 1.0 : spillOf(zone));
+            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * (local ? 1.0 : spillOf(zone));
             if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
         }
         if (c.empty()) {  // never leave a table without a line while anything is ready
@@ -484,6 +488,41 @@
         }
     }
 
+    // Slowness: weights move slowly towards equal answer times. Failed tries count as very slow answers,
+    // so that a server that fails fast does not attract load.
+    std::map<ServerId, double> shifts;
+    Micros nextShift = 0;
+    [[nodiscard]] double shiftOf(ServerId id) const {
+        const auto at = shifts.find(id);
+        return at == shifts.end() ? 1 : at->second;
+    }
+    [[nodiscard]] double tightestAim() const {
+        double aim = 1e18;
+        for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
+        return aim;
+    }
+    void shift() {
+        if (now < nextShift) return;
+        nextShift = now + kShiftEvery;
+        std::map<ServerId, Decaying> sums;
+        double time = 0, tries = 0;
+        for (const auto& [key, h] : healths) {
+            if (h.fit != Fit::ok) continue;
+            Decaying& d = sums[key.second];
+            d.tries += h.seen.tries;
+            d.time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
+            time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
+            tries += h.seen.tries;
+        }
+        if (tries < 10) return;
+        for (const auto& [id, d] : sums) {
+            if (d.tries < 2 || d.time <= 0) continue;
+            const double against = (time / tries) / (d.time / d.tries);
+            double& f = shifts.try_emplace(id, 1.0).first->second;
+            f = std::clamp(f * std::pow(std::clamp(against, 0.3, 3.0), kShiftGain), kShiftLeast, kShiftMost);
+        }
+    }
+
     // A zone's own servers carry its requests while they have slack. The exception: where they are
     // proven hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
     struct Spill {
@@ -496,8 +535,7 @@
         return at == spills.end() ? 1 : at->second.share;
     }
     void spread() {
-        double aim = 1e18;
-        for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
+        const double aim = tightestAim();
         Decaying all;
         bool troubled = false;
         for (const auto& [key, h] : healths) {
@@ -578,6 +616,7 @@
         bindJoined();
         if (now >= nextTick) {
             judge();
+            shift();
             spread();
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
