--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,7 +34,9 @@
 constexpr Micros kEjectForMost = 16 * kSecond;
 constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
-constexpr double kShiftGain = 0.3;              // how strongly a server's slowness moves its weight
+constexpr double kShiftPower = 0.7;             // how strongly a server's slowness moves its weight
+constexpr double kShiftPrior = 8;               // tries at the fleet's mean that every server is credited with
+constexpr double kPaceHalfLifeS = 6;            // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
 constexpr double kShiftLeast = 0.25, kShiftMost = 2;
 constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
@@ -60,8 +62,8 @@
 struct Decaying {  // tries and failures, fading
     double tries = 0, failed = 0, time = 0, good = 0;
     Micros at = 0;
-    void fade(Micros now) {
-        const double keep = std::exp2(-static_cast<double>(now - at) / (kStatHalfLifeS * kSecond));
+    void fade(Micros now, double halfLifeS = kStatHalfLifeS) {
+        const double keep = std::exp2(-static_cast<double>(now - at) / (halfLifeS * kSecond));
         tries *= keep; failed *= keep; time *= keep; good *= keep;
         at = now;
     }
@@ -435,6 +437,7 @@
     void onSums(const ServerSums& r) {
         if (!fleet.count(r.server)) return;
         Health& h = healths[{r.fromZone, r.server}];
+        notePace(r);
         if (now < h.countFrom) return;
         h.seen.fade(now);
         h.seen.tries += r.tries;
@@ -490,6 +493,7 @@
 
     // Slowness: weights move slowly towards equal answer times. Failed tries count as very slow answers,
     // so that a server that fails fast does not attract load.
+    std::map<ServerId, Decaying> paces;
     std::map<ServerId, double> shifts;
     Micros nextShift = 0;
     [[nodiscard]] double shiftOf(ServerId id) const {
@@ -501,25 +505,27 @@
         for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
         return aim;
     }
+    void notePace(const ServerSums& r) {
+        Decaying& d = paces[r.server];
+        d.fade(now, kPaceHalfLifeS);
+        d.tries += r.tries;
+        d.time += static_cast<double>(r.meanTime) * (r.tries - std::min(r.failed, r.tries)) +
+                  r.failed * kFailedAims * tightestAim();
+    }
     void shift() {
         if (now < nextShift) return;
         nextShift = now + kShiftEvery;
-        std::map<ServerId, Decaying> sums;
         double time = 0, tries = 0;
-        for (const auto& [key, h] : healths) {
-            if (h.fit != Fit::ok) continue;
-            Decaying& d = sums[key.second];
-            d.tries += h.seen.tries;
-            d.time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
-            time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
-            tries += h.seen.tries;
+        for (auto& [id, d] : paces) {
+            d.fade(now, kPaceHalfLifeS);
+            time += d.time;
+            tries += d.tries;
         }
-        if (tries < 10) return;
-        for (const auto& [id, d] : sums) {
-            if (d.tries < 2 || d.time <= 0) continue;
-            const double against = (time / tries) / (d.time / d.tries);
-            double& f = shifts.try_emplace(id, 1.0).first->second;
-            f = std::clamp(f * std::pow(std::clamp(against, 0.3, 3.0), kShiftGain), kShiftLeast, kShiftMost);
+        if (tries < 1 || time <= 0) return;
+        const double usual = time / tries;
+        for (const auto& [id, d] : paces) {
+            const double mine = (d.time + kShiftPrior * usual) / (d.tries + kShiftPrior);
+            shifts[id] = std::clamp(std::pow(usual / mine, kShiftPower), kShiftLeast, kShiftMost);
         }
     }
 
