Levels and no further tries under proven overload

Cause: clients' repeats and timed-out work keep the fleet full, so that nothing is answered in time although it could carry the load.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -40,6 +40,13 @@
 constexpr Micros kShiftEvery = kSecond;
 constexpr double kShiftLeast = 0.25, kShiftMost = 2;
 constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
+constexpr double kHotServer = 0.6;              // answer time, in tightest aims, from which a server is hot
+constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
+constexpr double kEaseTime = 0.5;               // below this the limit is raised again
+constexpr double kDemandGain = 0.4;             // how fast the picture of demand follows
+constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaise = 1.15;
+constexpr double kUnlimited = 1e6;
+constexpr double kClassFloor = 0.25;            // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
 constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
@@ -563,7 +570,110 @@
     }
 
     // ======== 7. Levels and retries ========
-    void addLevels(Content&, const Group&) const {}
+    // Levels are set only under proven overload: answers are slow on the whole and on half the servers.
+    // Without them clients' repeats keep a fleet full of work that nobody waits for any more.
+    struct Demand { double rate = 0; };
+    std::map<std::pair<ProxyId, std::size_t>, Demand> demands;  // requests a second that come
+    double limit = 0;     // admitted tries a second over all our proxies; 0: no limit
+    bool overloaded = false;
+    Micros nextLimit = 0;
+
+    void onDemand(const ProxyDemand& d) {
+        if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
+        Demand& mine = demands[{d.proxy, d.klass}];
+        mine.rate += kDemandGain * (d.came * static_cast<double>(kSecond) / static_cast<double>(d.period) - mine.rate);
+    }
+    void setLimit() {
+        if (now < nextLimit) return;
+        nextLimit = now + set.reportEvery + kSecond;
+        std::map<ServerId, Decaying> by;
+        Decaying all;
+        for (const auto& [key, h] : healths) {
+            if (h.fit != Fit::ok) continue;
+            const double time = h.seen.time + h.seen.failed * kFailedAims * tightestAim();
+            by[key.second].tries += h.seen.tries;
+            by[key.second].time += time;
+            all.tries += h.seen.tries;
+            all.time += time;
+        }
+        std::size_t hot = 0, seen = 0;
+        for (const auto& [id, d] : by) {
+            if (d.tries < 1) continue;
+            ++seen;
+            hot += d.time / d.tries > kHotServer * tightestAim();
+        }
+        if (all.tries < 10) return;
+        const double slow = all.time / all.tries / tightestAim();
+        const double admitted = all.tries * std::log(2.0) / kStatHalfLifeS;
+        double came = 0;
+        for (const auto& [key, d] : demands) came += d.rate;
+        if (slow > kOverTime && hot * 2 > seen) {
+            overloaded = true;
+            const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
+            limit = cut * (limit > 0 ? std::min(limit, admitted) : admitted);
+        } else if (overloaded && slow < kEaseTime) {
+            limit *= kRaise;
+            if (limit > 1.2 * came) { overloaded = false; limit = 0; }
+        }
+    }
+    // The share of each class let in: the least worth for its work (which grows with its aim) gives first.
+    [[nodiscard]] std::vector<double> shares() const {
+        const std::size_t n = set.classes.size();
+        std::vector<double> load(n, 0), keep(n, 1);
+        double total = 0;
+        for (const auto& [key, d] : demands) {
+            load[key.second] += d.rate * static_cast<double>(set.classes[key.second].aim);
+        }
+        for (const double l : load) total += l;
+        double came = 0;
+        for (const auto& [key, d] : demands) came += d.rate;
+        if (limit <= 0 || came <= 0) return keep;
+        double excess = total * std::max(0.0, 1 - limit / came);
+        std::vector<std::size_t> order(n);
+        for (std::size_t c = 0; c < n; ++c) order[c] = c;
+        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+            return set.classes[a].worth / static_cast<double>(set.classes[a].aim) <
+                   set.classes[b].worth / static_cast<double>(set.classes[b].aim);
+        });
+        for (const double floor : {kClassFloor, 0.02}) {
+            for (const std::size_t c : order) {
+                const double give = std::min(excess, load[c] * (keep[c] - floor));
+                if (load[c] <= 0 || give <= 0) continue;
+                keep[c] -= give / load[c];
+                excess -= give;
+            }
+        }
+        return keep;
+    }
+    // The rate that, held at every proxy, lets this share of a class through: the busiest give first.
+    [[nodiscard]] double rateFor(std::size_t klass, double keep) const {
+        std::vector<double> rates;
+        double total = 0;
+        for (const auto& [key, d] : demands) {
+            if (key.second != klass) continue;
+            rates.push_back(d.rate);
+            total += d.rate;
+        }
+        std::sort(rates.begin(), rates.end());
+        double left = total * keep;
+        for (std::size_t i = 0; i < rates.size(); ++i) {
+            const double even = left / static_cast<double>(rates.size() - i);
+            if (rates[i] >= even) return even;
+            left -= rates[i];
+        }
+        return kUnlimited;
+    }
+    void addLevels(Content& c, const Group& g) const {
+        const std::vector<double> keep = shares();
+        for (std::size_t k = 0; k < set.classes.size(); ++k) {
+            if (g.classes != 0 && ((g.classes >> k) & 1U) == 0) continue;
+            double level = kUnlimited;
+            if (keep[k] < 1 && set.admission == Admission::share) level = stepped(keep[k]);
+            if (keep[k] < 1 && set.admission == Admission::rate) level = stepped(rateFor(k, keep[k]));
+            const auto mode = static_cast<std::uint8_t>(overloaded ? 0 : set.defaultRetry);
+            c[kLevelKey + k] = {static_cast<float>(level), mode};
+        }
+    }
 
     // ======== 8. Joins and restart ========
     void onJoin(const ProxyJoined& j) {
@@ -578,6 +688,7 @@
         for (const TableId t : at->second.tables) release(l.proxy, t);
         proxies.erase(at);
         joined.erase(l.proxy);
+        demands.erase(demands.lower_bound({l.proxy, 0}), demands.upper_bound({l.proxy, set.classes.size()}));
     }
     std::set<ProxyId> joined;
     void bindJoined() {
@@ -611,6 +722,7 @@
         if (const auto* e = std::get_if<ProxyJoined>(&event)) onJoin(*e);
         if (const auto* e = std::get_if<ProxyLeft>(&event)) onLeft(*e);
         if (const auto* e = std::get_if<ServerSums>(&event)) onSums(*e);
+        if (const auto* e = std::get_if<ProxyDemand>(&event)) onDemand(*e);
         if (const auto* e = std::get_if<Acknowledged>(&event)) onAnswer(*e);
     }
     void turn(const std::vector<Event>& events) {
@@ -623,6 +735,7 @@
         if (now >= nextTick) {
             judge();
             shift();
+            setLimit();
             spread();
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
