--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -607,6 +607,7 @@
         const double admitted = all.tries * std::log(2.0) / kStatHalfLifeS;
         double came = 0;
         for (const auto& [key, d] : demands) came += d.rate;
+        out.push_back(Log{"slow " + std::to_string(slow) + " hot " + std::to_string(hot) + "/" + std::to_string(seen) + " limit " + std::to_string(limit) + " admitted " + std::to_string(admitted) + " came " + std::to_string(came)});
         if (slow > kOverTime && hot * 2 > seen) {
             overloaded = true;
             const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
