The limit is judged on fresh windows and floored by the proven rate

Conclusion: sums of tries from before a change must not be judged again. The floor also bounds the harm when slowness has another cause.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,6 +45,9 @@
 constexpr double kEaseTime = 0.5;               // below this the limit is raised again
 constexpr double kDemandGain = 0.4;             // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaise = 1.15;
+constexpr Micros kWindowExtra = 500 * kMs;
+constexpr double kProvenFade = 0.98;            // a window
+constexpr double kLimitFloor = 0.5;             // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
 constexpr double kClassFloor = 0.25;            // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
@@ -445,6 +448,7 @@
         if (!fleet.count(r.server)) return;
         Health& h = healths[{r.fromZone, r.server}];
         notePace(r);
+        noteWindow(r);
         if (now < h.countFrom) return;
         h.seen.fade(now);
         h.seen.tries += r.tries;
@@ -576,42 +580,52 @@
     std::map<std::pair<ProxyId, std::size_t>, Demand> demands;  // requests a second that come
     double limit = 0;     // admitted tries a second over all our proxies; 0: no limit
     bool overloaded = false;
-    Micros nextLimit = 0;
 
     void onDemand(const ProxyDemand& d) {
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
         Demand& mine = demands[{d.proxy, d.klass}];
         mine.rate += kDemandGain * (d.came * static_cast<double>(kSecond) / static_cast<double>(d.period) - mine.rate);
     }
+    // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
+    // lest the same jam be answered over and over.
+    std::map<ServerId, Decaying> window;
+    Micros windowFrom = 0;
+    double proven = 0;  // good answers a second that the fleet has given us
+
+    void noteWindow(const ServerSums& r) {
+        if (now < windowFrom) return;
+        Decaying& d = window[r.server];
+        const std::uint32_t failed = std::min(r.failed, r.tries);
+        d.tries += r.tries;
+        d.failed += failed;
+        d.time += static_cast<double>(r.meanTime) * (r.tries - failed) + failed * kFailedAims * tightestAim();
+    }
     void setLimit() {
-        if (now < nextLimit) return;
-        nextLimit = now + set.reportEvery + kSecond;
-        std::map<ServerId, Decaying> by;
+        const Micros span = set.reportEvery + kWindowExtra;
+        if (now < windowFrom + span) return;
         Decaying all;
-        for (const auto& [key, h] : healths) {
-            if (h.fit != Fit::ok) continue;
-            const double time = h.seen.time + h.seen.failed * kFailedAims * tightestAim();
-            by[key.second].tries += h.seen.tries;
-            by[key.second].time += time;
-            all.tries += h.seen.tries;
-            all.time += time;
-        }
-        std::size_t hot = 0, seen = 0;
-        for (const auto& [id, d] : by) {
-            if (d.tries < 1) continue;
-            ++seen;
-            hot += d.time / d.tries > kHotServer * tightestAim();
-        }
+        std::size_t hot = 0;
+        for (const auto& [id, d] : window) {
+            all.tries += d.tries;
+            all.failed += d.failed;
+            all.time += d.time;
+            hot += d.time > kHotServer * tightestAim() * d.tries;
+        }
+        const std::size_t seen = window.size();
+        const double seconds = static_cast<double>(now - windowFrom) / kSecond;
+        window.clear();
+        windowFrom = now;
         if (all.tries < 10) return;
         const double slow = all.time / all.tries / tightestAim();
-        const double admitted = all.tries * std::log(2.0) / kStatHalfLifeS;
+        const double admitted = all.tries / seconds;
+        proven = std::max(proven * kProvenFade, (all.tries - all.failed) / seconds);
         double came = 0;
         for (const auto& [key, d] : demands) came += d.rate;
-        out.push_back(Log{"slow " + std::to_string(slow) + " hot " + std::to_string(hot) + "/" + std::to_string(seen) + " limit " + std::to_string(limit) + " admitted " + std::to_string(admitted) + " came " + std::to_string(came)});
         if (slow > kOverTime && hot * 2 > seen) {
             overloaded = true;
             const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
-            limit = cut * (limit > 0 ? std::min(limit, admitted) : admitted);
+            limit = std::max(cut * (limit > 0 ? std::min(limit, admitted) : admitted), kLimitFloor * proven);
+            windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
             limit *= kRaise;
             if (limit > 1.2 * came) { overloaded = false; limit = 0; }
