--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint32_t kMessageReserve = 4;    // messages to a proxy kept for what the rules demand
 constexpr double kRampFrom = 0.25;              // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
+constexpr double kColdLeast = 0.03;             // of its ramp, a cold server's part in the worst jam
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
 constexpr double kEjectTries = 4;               // on at least so many recent tries
@@ -421,7 +422,19 @@
         if (warm(s) || set.warmUp <= 0) return 1;
         const double from = std::min(kRampFrom, set.coldShare);
         const auto step = static_cast<double>(age(s) / kRampStep * kRampStep);
-        return from + (1 - from) * step / static_cast<double>(set.warmUp);
+        return (from + (1 - from) * step / static_cast<double>(set.warmUp)) * std::max(answered, kColdLeast);
+    }
+    // Where tries fail they come again, so a weight brings more tries than it would on a calm day. A cold
+    // server takes only the part that is answered; without this, half a fleet that came back at once
+    // into a jam was pushed over (incident i6bbaa1).
+    double answered = 1;
+    void noteAnswered() {
+        Decaying all;
+        for (const auto& [key, h] : healths) {
+            all.tries += h.seen.tries;
+            all.failed += h.seen.failed;
+        }
+        answered = all.tries < 5 ? 1 : 1 - all.ratio();
     }
 
     // ======== 6. Health ========
@@ -749,6 +762,7 @@
         bindJoined();
         if (now >= nextTick) {
             judge();
+            noteAnswered();
             shift();
             setLimit();
             spread();
