--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,7 +26,8 @@
 constexpr std::uint32_t kMessageReserve = 4;    // messages to a proxy kept for what the rules demand
 constexpr double kRampFrom = 0.25;              // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
-constexpr double kColdLeast = 0.03;             // of its ramp, a cold server's part in the worst jam
+constexpr double kColdOpen = 0.75, kColdShut = 0.6;  // share of tries answered that opens, shuts cold servers
+constexpr double kColdTries = 5;                // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
 constexpr double kEjectTries = 4;               // on at least so many recent tries
@@ -422,19 +423,23 @@
         if (warm(s) || set.warmUp <= 0) return 1;
         const double from = std::min(kRampFrom, set.coldShare);
         const auto step = static_cast<double>(age(s) / kRampStep * kRampStep);
-        return (from + (1 - from) * step / static_cast<double>(set.warmUp)) * std::max(answered, kColdLeast);
-    }
-    // Where tries fail they come again, so a weight brings more tries than it would on a calm day. A cold
-    // server takes only the part that is answered; without this, half a fleet that came back at once
-    // into a jam was pushed over (incident i6bbaa1).
-    double answered = 1;
+        return (from + (1 - from) * step / static_cast<double>(set.warmUp)) * (coldOpen ? answered : 0);
+    }
+    // In a jam a weight says little: failed tries come again, and proxies that avoid the servers that failed
+    // them bring everything to the cold ones (incident i6bbaa1: half a fleet came back at once and was pushed
+    // over). So cold servers take only the answered part of their ramp, and nothing while most tries fail or
+    // a planner that has just started cannot tell yet.
+    double answered = 0;
+    bool coldOpen = false;
     void noteAnswered() {
         Decaying all;
         for (const auto& [key, h] : healths) {
             all.tries += h.seen.tries;
             all.failed += h.seen.failed;
         }
-        answered = all.tries < 5 ? 1 : 1 - all.ratio();
+        if (all.tries >= kColdTries) answered = 1 - all.ratio();
+        if (answered < kColdShut) coldOpen = false;
+        if (answered > kColdOpen) coldOpen = true;
     }
 
     // ======== 6. Health ========
@@ -455,7 +460,7 @@
         if (key >= kLevelKey) return false;
         const auto s = fleet.find(static_cast<ServerId>(key));
         if (s == fleet.end() || !s->second.ready()) return false;  // withdrawn already
-        return health(zone, s->first) == 0 || age(s->second) < kRampStep;
+        return health(zone, s->first) == 0 || age(s->second) < kRampStep || ramp(s->second) == 0;
     }
     void onSums(const ServerSums& r) {
         if (!fleet.count(r.server)) return;
