--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,10 +23,11 @@
 constexpr Micros kFoldAfter = 2 * kSecond;      // a copy lives at least this long before it is folded back
 constexpr double kBacklogShare = 0.5;           // of the allowed backlog we fill this much
 constexpr double kSlowChannel = 8;              // the channel may run this many times slower than told
-constexpr std::uint32_t kMessageReserve = 4;    // messages to a proxy kept for what the rules demand
+constexpr double kUrgentCap = 1.6;              // what the rules demand may fill this much more
+constexpr Micros kSlotLeast = 200 * kMs;        // least time between two rounds of messages
 constexpr double kRampFrom = 0.25;              // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
-constexpr double kColdOpen = 0.75, kColdShut = 0.6;  // share of tries answered that opens, shuts cold servers
+constexpr double kColdOpen = 0.6, kColdShut = 0.45;  // share of tries answered that opens, shuts cold servers
 constexpr double kColdTries = 5;                // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
@@ -181,7 +182,6 @@
         double rate = 0;
         std::vector<TableId> tables;  // by group
         std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
-        std::deque<Micros> messages;      // when it was written, within the window
     };
     std::map<ProxyId, Proxy> proxies;
     std::set<ProxyId> written;  // proxies that get a message this turn
@@ -375,29 +375,30 @@
             channel.pop_front();
         }
     }
-    [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) {
-        const double cap = set.backlogLines * kBacklogShare * (urgent ? 1.6 : 1.0);
-        const double more = static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1);
-        if (waiting + turnLines + more > cap) return false;
-        if (set.messagesMost == 0) return true;
-        const std::uint32_t most = set.messagesMost - (urgent ? 1 : std::min(kMessageReserve, set.messagesMost / 2));
-        return std::all_of(ids.begin(), ids.end(), [&](ProxyId id) {
-            auto& times = proxies.at(id).messages;
-            while (!times.empty() && now - times.front() > set.messagesOver) times.pop_front();
-            return written.count(id) || times.size() < most;
-        });
+    // Messages leave in slots, so far apart that a proxy's limit holds whatever happens in between: all that
+    // falls due meanwhile goes out as one message. Only a proxy's first bind does not wait for a slot.
+    // (Incident i648ecb: withdrawals that came on top of a full window broke the limit.)
+    Micros lastSlot = 0;
+    bool slotOpen = true;
+    void openSlot() {
+        const Micros apart = set.messagesMost > 1 ? set.messagesOver / (set.messagesMost - 1) + 1 : 0;
+        slotOpen = now - lastSlot >= std::max(apart, kSlotLeast);
+    }
+    [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) const {
+        const double cap = set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0);
+        return slotOpen && waiting + turnLines + static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= cap;
     }
     void write(ProxyId id, double lines) {
         ordered = true;
         turnLines += lines;
         if (!written.insert(id).second) return;
         turnLines += set.envelopeLines + 1;  // the head, and the mark's own line
-        proxies.at(id).messages.push_back(now);
         proxies.at(id).marks.push_back(turnNumber);
     }
     void closeTurn() {
         if (ordered) {
             out.push_back(Mark{static_cast<std::uint16_t>(turnNumber & 0xffffU), false});
+            if (slotOpen) lastSlot = now;
             channel.push_back({turnNumber, now, turnLines});
             waiting += turnLines;
         }
@@ -409,6 +410,7 @@
 
     // ======== 4. Withdrawals (DESIGN step 7) ========
     void withdraw() {
+        if (!slotOpen) return;
         for (auto& [id, s] : fleet) {
             const bool out_ = !s.ready();
             if (out_ == s.withdrawn) continue;
@@ -427,17 +429,23 @@
     }
     // In a jam a weight says little: failed tries come again, and proxies that avoid the servers that failed
     // them bring everything to the cold ones (incident i6bbaa1: half a fleet came back at once and was pushed
-    // over). So cold servers take only the answered part of their ramp, and nothing while most tries fail or
-    // a planner that has just started cannot tell yet.
+    // over). So cold servers take only the answered part of their ramp, less what the warm ones have lost in
+    // weight, and nothing while most tries fail or a planner that has just started cannot tell yet.
     double answered = 0;
     bool coldOpen = false;
+    double calmWeight = 0;  // the most weight that warm, healthy servers have had
     void noteAnswered() {
         Decaying all;
         for (const auto& [key, h] : healths) {
             all.tries += h.seen.tries;
             all.failed += h.seen.failed;
         }
-        if (all.tries >= kColdTries) answered = 1 - all.ratio();
+        double weight = 0;
+        for (const auto& [id, s] : fleet) {
+            if (s.ready() && warm(s)) weight += s.weight() * shiftOf(id) * health(s.entry.zone, id);
+        }
+        calmWeight = std::max(calmWeight, weight);
+        if (all.tries >= kColdTries && calmWeight > 0) answered = (1 - all.ratio()) * weight / calmWeight;
         if (answered < kColdShut) coldOpen = false;
         if (answered > kColdOpen) coldOpen = true;
     }
@@ -527,7 +535,8 @@
     Micros nextShift = 0;
     [[nodiscard]] double shiftOf(ServerId id) const {
         const auto at = shifts.find(id);
-        return at == shifts.end() ? 1 : at->second;
+        if (at == shifts.end()) return 1;
+        return warm(fleet.at(id)) ? at->second : std::min(1.0, at->second);  // a cold one looks fast while idle
     }
     [[nodiscard]] double tightestAim() const {
         double aim = 1e18;
@@ -763,6 +772,7 @@
         started = true;
         for (const Event& event : events) handle(event);
         drainChannel();
+        openSlot();
         withdraw();
         bindJoined();
         if (now >= nextTick) {
