--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,6 +28,7 @@
 constexpr double kRampFrom = 0.25;              // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.6, kColdShut = 0.45;  // share of tries answered that opens, shuts cold servers
+constexpr double kTipPerLoad = 2;               // load that a ramp may meet, as a part of the tip multiple
 constexpr double kColdTries = 5;                // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
@@ -445,7 +446,11 @@
             if (s.ready() && warm(s)) weight += s.weight() * shiftOf(id) * health(s.entry.zone, id);
         }
         calmWeight = std::max(calmWeight, weight);
-        if (all.tries >= kColdTries && calmWeight > 0) answered = (1 - all.ratio()) * weight / calmWeight;
+        if (all.tries >= kColdTries && calmWeight > 0) {
+            // A fleet that tips only at a high multiple leaves room before the shrinking has to begin.
+            const double room = std::max(1.0, set.tipMultiple / kTipPerLoad);
+            answered = std::min(1.0, room * (1 - all.ratio()) * weight / calmWeight);
+        }
         if (answered < kColdShut) coldOpen = false;
         if (answered > kColdOpen) coldOpen = true;
     }
