--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -717,17 +717,10 @@
             double level = kUnlimited;
             if (keep[k] < 1 && set.admission == Admission::share) level = stepped(keep[k]);
             if (keep[k] < 1 && set.admission == Admission::rate) level = stepped(rateFor(k, keep[k]));
-            c[kLevelKey + k] = {static_cast<float>(level), retryMode(k)};
+            const auto mode = static_cast<std::uint8_t>(overloaded ? 0 : set.defaultRetry);
+            c[kLevelKey + k] = {static_cast<float>(level), mode};
         }
     }
-    // 0: none, 1: only after proof that the first try never ran, 2: after any failure. What must not run
-    // twice never goes past 1; what servers drop as a repeat only does so in its group, which a table of
-    // a zone exceeds. Overload takes all further tries away.
-    [[nodiscard]] std::uint8_t retryMode(std::size_t klass) const {
-        if (overloaded) return 0;
-        const ClassSettings& k = set.classes[klass];
-        return k.repeat == Repeat::retryable ? 2 : static_cast<std::uint8_t>(std::min(set.defaultRetry, 1));
-    }
 
     // ======== 8. Joins and restart ========
     void onJoin(const ProxyJoined& j) {
