--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,447 @@
+// The decision module by itself, part by part.
+#include "fleet.h"
+
+namespace marldale::test {
+namespace {
+
+using enum ServerState;
+
+// ---- Fleet view, table store and push ----
+
+TEST(Push, EveryProxyIsBoundToItsZonesTableWithLinesFirst) {
+    const Rig rig = settledRig();
+    for (ProxyId p = 0; p < 4; ++p) EXPECT_GT(rig.weight(p, 1) + rig.weight(p, 3), 0);
+    EXPECT_EQ(rig.tableOf(0), rig.tableOf(1));
+    EXPECT_EQ(rig.tableOf(2), rig.tableOf(3));
+    EXPECT_NE(rig.tableOf(0), rig.tableOf(2));
+}
+
+TEST(Push, NothingChangesNothingIsSent) {
+    Rig rig = settledRig();
+    const auto before = rig.messages;
+    rig.run(10 * kSecond);
+    EXPECT_EQ(rig.messages, before);
+}
+
+TEST(Push, UnlistedWeightCountsAsOne) {
+    Rig rig(calmSettings());
+    ListEntry unlisted = server(1, 0);
+    unlisted.weight = 0;
+    rig.list({unlisted, server(2, 0)});
+    rig.join(0, 0);
+    EXPECT_FLOAT_EQ(rig.weight(0, 1), 1);
+    EXPECT_FLOAT_EQ(rig.weight(0, 1), rig.weight(0, 2));
+}
+
+TEST(Push, AHeldChangeWaitsForTheAnswerAndMerges) {
+    Rig rig = settledRig();
+    rig.silent = {0};
+    ListEntry heavier = server(2, 0);
+    heavier.weight = 2;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 2);  // sent under a mark that proxy 0 does not answer
+    for (const double w : {3.0, 4.0}) {
+        heavier.weight = w;
+        rig.list({heavier}, ListNewsKind::delta);
+        rig.run(400 * kMs);
+        EXPECT_FLOAT_EQ(rig.weight(0, 2), 2) << "a change went out under an unanswered mark";
+    }
+    const int before = rig.messages[1];
+    rig.answerNow(0);
+    rig.run(600 * kMs);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 4);  // both held changes as one difference
+    EXPECT_EQ(rig.messages[1], before + 1);
+}
+
+TEST(Push, TheTimeoutReleasesTheWaitAndTheSilentProxyGetsACopy) {
+    Rig rig = settledRig();
+    rig.silent = {0};
+    ListEntry heavier = server(2, 0);
+    heavier.weight = 2;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    heavier.weight = 3;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(3500 * kMs);
+    EXPECT_NE(rig.tableOf(0), rig.tableOf(1));
+    EXPECT_FLOAT_EQ(rig.weight(1, 2), 3);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 3) << "later changes go to copies too";
+}
+
+TEST(Push, ALateAnswerAfterTheTimeoutFoldsTheCopyBack) {
+    Rig rig = settledRig();
+    rig.silent = {0};
+    ListEntry heavier = server(2, 0);
+    heavier.weight = 2;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(4 * kSecond);
+    ASSERT_NE(rig.tableOf(0), rig.tableOf(1));
+    rig.answerNow(0);
+    rig.run(6 * kSecond);
+    EXPECT_EQ(rig.tableOf(0), rig.tableOf(1));
+    EXPECT_EQ(rig.tables.size(), 2U);
+}
+
+TEST(Push, ProxiesThatJoinInOneTurnShareOneFreshTable) {
+    Rig rig = settledRig();
+    rig.turn({ProxyJoined{7, 0, 10, true}, ProxyJoined{8, 0, 10, true}});
+    EXPECT_EQ(rig.tableOf(7), rig.tableOf(8));
+    EXPECT_NE(rig.tableOf(7), rig.tableOf(0));
+    EXPECT_EQ(rig.count<Mark>(), 1);
+    rig.run(6 * kSecond);
+    EXPECT_EQ(rig.tableOf(7), rig.tableOf(0)) << "the copy was not folded back";
+}
+
+TEST(Push, AJoinDuringAPushGetsTheWholeTableAtOnce) {
+    Rig rig = settledRig();
+    rig.silent = {0};
+    ListEntry heavier = server(2, 0);
+    heavier.weight = 2;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    heavier.weight = 3;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.join(7, 0);
+    EXPECT_FLOAT_EQ(rig.weight(7, 2), 3);
+    EXPECT_FLOAT_EQ(rig.weight(1, 2), 2) << "the shared table still waits";
+}
+
+TEST(Push, AnAnswerOfADepartedProxyChangesNothing) {
+    Rig rig = settledRig();
+    rig.leave(0);
+    const auto actions = rig.turn({Acknowledged{0, 1, kSecond}, Acknowledged{99, 1, kSecond},
+                                   ServerSums{77, 0, 5, 5, kSecond, 0, {}}, ProxyDemand{99, 0, 5, 0, kSecond},
+                                   ProbeResult{77, ProbeOutcome::ok, 1, {}}, TimerDue{12345}});
+    EXPECT_EQ(rig.count<SetLine>() + rig.count<Bind>() + rig.count<Withdraw>(), 0);
+    rig.run(kSecond);
+    EXPECT_GT(rig.weight(1, 1), 0);
+}
+
+// ---- Pacer ----
+
+TEST(Pacer, NoProxyIsWrittenMoreThanTheLimitWhateverComes) {
+    Settings s = calmSettings();
+    s.messagesMost = 6;
+    s.messagesOver = 10 * kSecond;
+    Rig rig(s);
+    rig.list({server(1, 0), server(2, 0), server(3, 1), server(4, 1), server(5, 1)});
+    rig.now += kSecond;
+    rig.join(0, 0);
+    for (int i = 0; i < 100; ++i) {  // a list that never rests: one server drains and comes back, over and over
+        rig.now += 100 * kMs;
+        rig.list({server(5, 1, i % 2 == 0 ? draining : ready)}, ListNewsKind::delta);
+    }
+    EXPECT_GT(rig.messages[0], 1);
+    EXPECT_LE(rig.messages[0], 6);
+}
+
+TEST(Pacer, WithoutAnswersTheBacklogStaysUnderItsCap) {
+    Settings s = calmSettings();
+    s.backlogLines = 120;
+    s.pushRate = 1;  // a channel that all but stands still
+    Rig rig(s);
+    rig.answers = false;
+    rig.list({server(1, 0), server(2, 0), server(3, 1), server(4, 1)});
+    rig.join(0, 0);
+    rig.join(1, 1);
+    double lines = 0;
+    for (int i = 0; i < 200; ++i) {
+        rig.now += 100 * kMs;
+        ListEntry e = server(2, 0);
+        e.weight = 1 + i % 7;
+        rig.list({e}, ListNewsKind::delta);
+        const int binds = rig.count<Bind>();
+        if (rig.count<Mark>() > 0) lines += 2 * (s.envelopeLines + 1) + rig.count<SetLine>() + binds * 7;
+    }
+    EXPECT_LE(lines, s.backlogLines);
+}
+
+// ---- Withdrawals ----
+
+TEST(Withdrawals, ADrainSkipsTheWaitOfAnUnansweredMark) {
+    Rig rig = settledRig();
+    rig.silent = {0, 1, 2, 3};
+    ListEntry heavier = server(2, 0);
+    heavier.weight = 2;
+    rig.list({heavier}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    rig.list({server(1, 0, draining)}, ListNewsKind::delta);
+    rig.run(300 * kMs);
+    EXPECT_TRUE(rig.withdrawn[1]);
+}
+
+TEST(Withdrawals, AServerThatAWholeListLeavesOutIsGoneAndMayReturn) {
+    Rig rig = settledRig();
+    rig.list({server(1, 0), server(3, 1), server(4, 1)});
+    rig.run(300 * kMs);
+    EXPECT_TRUE(rig.withdrawn[2]);
+    rig.run(2 * kSecond);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
+    rig.list({server(2, 0)}, ListNewsKind::delta);
+    rig.run(2 * kSecond);
+    EXPECT_FALSE(rig.withdrawn[2]);
+    EXPECT_GT(rig.weight(0, 2), 0);
+}
+
+TEST(Withdrawals, AZoneWithoutAWarmServerRebindsToAnother) {
+    Rig rig = settledRig();
+    const TableId before = rig.tableOf(0);
+    rig.list({server(1, 0, gone), server(2, 0, gone)}, ListNewsKind::delta);
+    rig.run(kSecond);
+    EXPECT_NE(rig.tableOf(0), before);
+    EXPECT_EQ(rig.tableOf(0), rig.tableOf(2));
+    EXPECT_GT(rig.weight(0, 3), 0);
+}
+
+TEST(Withdrawals, TheLastReadyServerKeepsItsLine) {
+    Rig rig = settledRig();
+    rig.list({server(1, 0, gone), server(2, 0, gone), server(3, 1, gone)}, ListNewsKind::delta);
+    rig.run(3 * kSecond);
+    rig.sums({4}, 20, 20, 0);
+    rig.run(3 * kSecond);
+    for (ProxyId p = 0; p < 4; ++p) EXPECT_GT(rig.weight(p, 4), 0);
+}
+
+// ---- Slow start ----
+
+TEST(SlowStart, ASameIdRestartedColdEntersLowAndRisesInSteps) {
+    Rig rig = settledRig();
+    rig.sums({1, 2, 3, 4}, 10, 0, 150 * kMs);
+    const float full = rig.weight(0, 2);
+    rig.list({server(2, 0, ready, rig.now)}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    float weight = rig.weight(0, 2);
+    EXPECT_GT(weight, 0);
+    EXPECT_LE(weight, full / 4 * 1.01F);
+    for (int i = 0; i < 17; ++i) {
+        rig.run(kSecond);
+        rig.sums({1, 2, 3, 4}, 10, 0, 150 * kMs);
+        EXPECT_GE(rig.weight(0, 2), weight);
+        weight = rig.weight(0, 2);
+    }
+    EXPECT_FLOAT_EQ(weight, full);
+}
+
+// Found by incident i6bbaa1: half a fleet came back cold into a jam and was pushed over.
+TEST(SlowStart, InAJamColdServersTakeNothing) {
+    Rig rig = settledRig();
+    rig.sums({1, 2, 3, 4}, 20, 18, kSecond);
+    rig.run(300 * kMs);
+    rig.list({server(2, 0, ready, rig.now)}, ListNewsKind::delta);
+    rig.run(600 * kMs);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
+    EXPECT_GT(rig.weight(0, 1), 0);
+}
+
+TEST(SlowStart, APlannerThatKnowsNothingYetLeavesColdServersOut) {
+    Rig rig(calmSettings());
+    rig.list({server(1, 0), server(2, 0, ready, rig.now - kSecond)});
+    rig.join(0, 0);
+    EXPECT_GT(rig.weight(0, 1), 0);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
+}
+
+// Found by incident i9298a4: a cold server's share grew as the warm ones lost weight.
+TEST(SlowStart, AColdServerShrinksWithTheWarmWeight) {
+    Rig rig = settledRig();
+    rig.sums({1, 2, 3, 4}, 10, 0, 150 * kMs);
+    rig.list({server(2, 0, ready, rig.now)}, ListNewsKind::delta);
+    rig.run(400 * kMs);
+    const float calm = rig.weight(2, 2);
+    ASSERT_GT(calm, 0);
+    rig.list({server(3, 1, gone), server(4, 1, gone)}, ListNewsKind::delta);
+    rig.run(600 * kMs);
+    rig.sums({1}, 10, 0, 150 * kMs);
+    rig.run(600 * kMs);
+    EXPECT_LT(rig.weight(0, 2), calm);
+}
+
+// ---- Health ----
+
+TEST(Health, AServerThatAnswersNothingIsEjectedAndComesBackByATrickle) {
+    Rig rig = settledRig();
+    rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
+    rig.sums({2}, 10, 10, 0);
+    rig.run(600 * kMs);
+    EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
+    rig.run(5 * kSecond);
+    EXPECT_GT(rig.weight(0, 2), 0);
+    EXPECT_LT(rig.weight(0, 2), 0.3F * rig.weight(0, 1));
+}
+
+TEST(Health, ManyFailingAtOnceMeansLoadAndEjectsNobody) {
+    Rig rig = settledRig();
+    rig.sums({1, 2, 3, 4}, 10, 8, kSecond);
+    rig.run(600 * kMs);
+    for (const ServerId s : {1U, 2U, 3U, 4U}) EXPECT_GT(rig.weight(0, s), 0);
+}
+
+TEST(Health, FastErrorsDoNotAttractLoad) {
+    Rig rig = settledRig();
+    for (int i = 0; i < 4; ++i) {
+        rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
+        rig.sums({2}, 10, 4, 20 * kMs);
+        rig.run(kSecond);
+    }
+    EXPECT_LT(rig.weight(0, 2), 0.8F * rig.weight(0, 1));
+}
+
+TEST(Health, ASlowServerGetsLessAndAFastOneMore) {
+    Rig rig = settledRig();
+    for (int i = 0; i < 6; ++i) {
+        rig.sums({1, 3}, 20, 0, 100 * kMs);
+        rig.sums({2, 4}, 20, 0, 250 * kMs);
+        rig.run(kSecond);
+    }
+    EXPECT_LT(rig.weight(0, 2), 0.8F * rig.weight(0, 1));
+}
+
+TEST(Health, AZoneWithSlackKeepsToItself) {
+    Rig rig = settledRig();
+    ASSERT_GT(rig.weight(0, 3), 0) << "nothing is proven at the start: lines of all zones";
+    for (int i = 0; i < 30; ++i) {
+        rig.sums({1, 2, 3, 4}, 10, 0, 100 * kMs);
+        rig.run(kSecond);
+    }
+    EXPECT_FLOAT_EQ(rig.weight(0, 3), 0);
+    EXPECT_GT(rig.weight(0, 1), 0);
+    for (int i = 0; i < 4; ++i) {
+        rig.sums({1, 2, 3, 4}, 10, 0, 500 * kMs);
+        rig.run(kSecond);
+    }
+    EXPECT_GT(rig.weight(0, 3), 0) << "a hot zone gets the others' lines";
+}
+
+// ---- Levels and retries ----
+
+Settings sheddingSettings(Admission how) {
+    Settings s = calmSettings();
+    s.admission = how;
+    return s;
+}
+
+void jam(Rig& rig, int seconds) {
+    for (int i = 0; i < seconds; ++i) {
+        std::vector<Event> demand;
+        for (ProxyId p = 0; p < 4; ++p) {
+            for (std::uint16_t k = 0; k < 2; ++k) demand.push_back(ProxyDemand{p, k, 20, 10, kSecond});
+        }
+        rig.turn(demand);
+        rig.sums({1, 2, 3, 4}, 20, 8, 900 * kMs);
+        rig.run(kSecond);
+    }
+}
+
+TEST(Levels, ProvenOverloadShedsTheLeastWorthFirst) {
+    Rig rig = settledRig(sheddingSettings(Admission::share));
+    EXPECT_GE(rig.levels[rig.tableOf(0)][1].limit, 1);
+    jam(rig, 6);
+    const auto& levels = rig.levels[rig.tableOf(0)];
+    EXPECT_LT(levels.at(1).limit, 0.9F);
+    EXPECT_LT(levels.at(1).limit, levels.at(2).limit);
+}
+
+TEST(Levels, RatesAreSetWhereTheSiteTakesRates) {
+    Rig rig = settledRig(sheddingSettings(Admission::rate));
+    jam(rig, 6);
+    EXPECT_GT(rig.levels[rig.tableOf(0)][1].limit, 1) << "a rate, not a share";
+    EXPECT_LT(rig.levels[rig.tableOf(0)][1].limit, 20);
+}
+
+TEST(Levels, TheyAreLiftedWhenAnswersAreFastAgain) {
+    Rig rig = settledRig(sheddingSettings(Admission::share));
+    jam(rig, 6);
+    for (int i = 0; i < 60; ++i) {
+        rig.sums({1, 2, 3, 4}, 20, 0, 100 * kMs);
+        rig.run(kSecond);
+    }
+    EXPECT_GE(rig.levels[rig.tableOf(0)][1].limit, 1);
+}
+
+TEST(Levels, SlowAnswersOfOneServerAreNoOverload) {
+    Rig rig = settledRig(sheddingSettings(Admission::share));
+    for (int i = 0; i < 6; ++i) {
+        rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
+        rig.sums({2}, 10, 10, 0);
+        rig.run(kSecond);
+    }
+    EXPECT_GE(rig.levels[rig.tableOf(0)][1].limit, 1);
+}
+
+// Found on an overloaded day: one jam, seen in fading sums, was answered again and again until 98% was refused.
+TEST(Levels, TheLimitStaysAboveAPartOfWhatTheFleetHasProven) {
+    Rig rig = settledRig(sheddingSettings(Admission::share));
+    jam(rig, 40);
+    EXPECT_GT(rig.levels[rig.tableOf(0)][2].limit, 0.2F);
+}
+
+TEST(Retries, WhatMustNotRunTwiceIsOnlyTriedAgainAfterProof) {
+    Rig rig = settledRig();
+    EXPECT_LE(rig.levels[rig.tableOf(0)][2].retryMode, 1);
+}
+
+TEST(Retries, OverloadTakesFurtherTriesAway) {
+    Rig rig = settledRig(sheddingSettings(Admission::none));
+    EXPECT_EQ(rig.levels[rig.tableOf(0)][1].retryMode, 1);
+    jam(rig, 6);
+    EXPECT_EQ(rig.levels[rig.tableOf(0)][1].retryMode, 0);
+    EXPECT_GE(rig.levels[rig.tableOf(0)][1].limit, 1);
+}
+
+// ---- Zones of a class ----
+
+TEST(Zones, AClassThatOnlyOneZoneServesIsSentThereAlone) {
+    Settings s = calmSettings();
+    s.classes[1].zones = 1U << 1U;
+    const Rig rig = settledRig(s);
+    ASSERT_EQ(rig.bound.at(0).size(), 2U);
+    const auto& table = rig.tables.at(rig.bound.at(0).at(2));
+    EXPECT_FALSE(table.count(1));
+    EXPECT_FALSE(table.count(2));
+    EXPECT_TRUE(table.count(3));
+}
+
+// ---- Restart and joins ----
+
+TEST(Restart, AnEmptyInstanceBindsWhenTheListComes) {
+    Rig rig(calmSettings());
+    rig.join(0, 0);
+    EXPECT_TRUE(rig.bound.empty()) << "nothing to bind to yet";
+    rig.list({server(1, 0), server(3, 1)});
+    EXPECT_GT(rig.weight(0, 1), 0);
+}
+
+TEST(Restart, AProxyThatLeavesAndReturnsHasAcknowledgedNothing) {
+    Rig rig = settledRig();
+    rig.leave(0);
+    rig.join(0, 0);
+    ASSERT_TRUE(rig.bound.count(0));
+    EXPECT_GT(rig.weight(0, 1), 0);
+    rig.run(6 * kSecond);
+    EXPECT_EQ(rig.tableOf(0), rig.tableOf(1));
+}
+
+TEST(Restart, SameEventsSameActions) {
+    const auto play = [] {
+        Rig rig = settledRig();
+        rig.sums({1, 2, 3}, 10, 0, 150 * kMs);
+        rig.sums({4}, 10, 9, 150 * kMs);
+        rig.run(8 * kSecond);
+        return std::make_pair(rig.tables, rig.messages);
+    };
+    EXPECT_EQ(play(), play());
+}
+
+TEST(Restart, AListOnRequestIsAskedForAndAskedAgainAfterAFailure) {
+    Settings s = calmSettings();
+    s.listOnRequest = true;
+    Rig rig(s);
+    rig.turn();
+    EXPECT_EQ(rig.count<Subscribe>(), 1);
+    rig.turn({ListNews{0, ListNewsKind::failed, {}}});
+    EXPECT_EQ(rig.count<Subscribe>(), 1);
+}
+
+}  // namespace
+}  // namespace marldale::test
