--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,7 +48,7 @@
 constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
 constexpr double kEaseTime = 0.5;               // below this the limit is raised again
 constexpr double kDemandGain = 0.4;             // how fast the picture of demand follows
-constexpr double kCutLeast = 0.6, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
+constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
 constexpr double kProvenFade = 0.98;            // a window
 constexpr double kLimitFloor = 0.5;             // of the proven rate: no limit goes below this
@@ -655,7 +655,7 @@
         for (const auto& [key, d] : demands) came += d.rate;
         if (slow > kOverTime && hot * 2 > seen) {
             overloaded = true;
-            const double cut = std::clamp(std::sqrt(kOverTime / slow), kCutLeast, kCutMost);
+            const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
             limit = std::max(cut * (limit > 0 ? std::min(limit, admitted) : admitted), kLimitFloor * proven);
             windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
