--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,6 +32,7 @@
 constexpr double kColdTries = 5;                // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
+constexpr double kPanicRatio = 0.15;            // half the servers failing this much: eject nobody
 constexpr double kEjectTries = 4;               // on at least so many recent tries
 constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
 constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
@@ -504,13 +505,15 @@
             std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2), ratios.end());
             usual = ratios[ratios.size() / 2];
         }
+        // Many failing at once, or answers slow on the whole, means load or network: nobody is ejected for it.
+        const bool panic = overloaded || usual > kPanicRatio;
         for (auto& [key, h] : healths) {
             const double ratio = h.seen.ratio();
             switch (h.fit) {
                 case Fit::ok:
                 case Fit::trial: {
                     const double least = h.fit == Fit::trial ? 2 : kEjectTries;
-                    if (h.seen.tries >= least && ratio >= kEjectRatio && ratio > 3 * usual &&
+                    if (!panic && h.seen.tries >= least && ratio >= kEjectRatio && ratio > 3 * usual &&
                         ejected[key.first] + 1 <= kEjectMost * static_cast<double>(ready)) {
                         if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
                         h.fit = Fit::ejected;
