--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,11 +39,11 @@
 constexpr Micros kEjectForMost = 16 * kSecond;
 constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
-constexpr double kShiftPower = 0.7;             // how strongly a server's slowness moves its weight
+constexpr double kShiftPower = 1.0;             // how strongly a server's slowness moves its weight
 constexpr double kShiftPrior = 8;               // tries at the fleet's mean that every server is credited with
 constexpr double kPaceHalfLifeS = 6;            // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
-constexpr double kShiftLeast = 0.25, kShiftMost = 2;
+constexpr double kShiftLeast = 0.1, kShiftMost = 2;
 constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
 constexpr double kHotServer = 0.6;              // answer time, in tightest aims, from which a server is hot
 constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
