--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,18 +32,18 @@
 constexpr double kColdTries = 5;                // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
-constexpr double kPanicRatio = 0.15;            // half the servers failing this much: eject nobody
+constexpr double kDeadRatio = 0.9;              // what it takes when many fail or all are slow
 constexpr double kEjectTries = 4;               // on at least so many recent tries
 constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
 constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
 constexpr Micros kEjectForMost = 16 * kSecond;
 constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
-constexpr double kShiftPower = 1.0;             // how strongly a server's slowness moves its weight
+constexpr double kShiftPower = 0.7;             // how strongly a server's slowness moves its weight
 constexpr double kShiftPrior = 8;               // tries at the fleet's mean that every server is credited with
 constexpr double kPaceHalfLifeS = 6;            // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
-constexpr double kShiftLeast = 0.1, kShiftMost = 2;
+constexpr double kShiftLeast = 0.25, kShiftMost = 2;
 constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
 constexpr double kHotServer = 0.6;              // answer time, in tightest aims, from which a server is hot
 constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
@@ -505,15 +505,16 @@
             std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2), ratios.end());
             usual = ratios[ratios.size() / 2];
         }
-        // Many failing at once, or answers slow on the whole, means load or network: nobody is ejected for it.
-        const bool panic = overloaded || usual > kPanicRatio;
+        // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
+        // only servers that answer all but nothing are ejected.
+        const double proof = overloaded ? kDeadRatio : std::clamp(3 * usual, kEjectRatio, kDeadRatio);
         for (auto& [key, h] : healths) {
             const double ratio = h.seen.ratio();
             switch (h.fit) {
                 case Fit::ok:
                 case Fit::trial: {
                     const double least = h.fit == Fit::trial ? 2 : kEjectTries;
-                    if (!panic && h.seen.tries >= least && ratio >= kEjectRatio && ratio > 3 * usual &&
+                    if (h.seen.tries >= least && ratio >= proof &&
                         ejected[key.first] + 1 <= kEjectMost * static_cast<double>(ready)) {
                         if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
                         h.fit = Fit::ejected;
