--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,7 +48,7 @@
 constexpr double kHotServer = 0.6;              // answer time, in tightest aims, from which a server is hot
 constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
 constexpr double kEaseTime = 0.5;               // below this the limit is raised again
-constexpr double kDemandGain = 0.4;             // how fast the picture of demand follows
+constexpr double kDemandGain = 0.2;             // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
 constexpr double kProvenFade = 0.98;            // a window
