--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,6 +34,8 @@
 constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
 constexpr double kDeadRatio = 0.9;              // what it takes when many fail or all are slow
 constexpr double kEjectTries = 4;               // on at least so many recent tries
+constexpr double kTrialTries = 2;               // or so many of a trickle
+constexpr double kHomeFails = 0.3;              // a zone's own servers fail less: the link is to blame
 constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
 constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
 constexpr Micros kEjectForMost = 16 * kSecond;
@@ -465,11 +467,18 @@
     };
     std::map<std::pair<ZoneId, ServerId>, Health> healths;
 
-    [[nodiscard]] double health(ZoneId zone, ServerId id) const {
-        const auto at = healths.find({zone, id});
-        if (at == healths.end() || at->second.fit == Fit::ok) return 1;
+    std::map<std::pair<ZoneId, ZoneId>, Health> links;  // from a zone's proxies to another zone's servers
+
+    template <class Book, class Id>
+    [[nodiscard]] static double factorIn(const Book& book, const Id& id) {
+        const auto at = book.find(id);
+        if (at == book.end() || at->second.fit == Fit::ok) return 1;
         return at->second.fit == Fit::trial ? kTrialWeight : 0;
     }
+    [[nodiscard]] double linkOf(ZoneId from, ZoneId to) const { return factorIn(links, std::pair(from, to)); }
+    [[nodiscard]] double health(ZoneId zone, ServerId id) const {
+        return factorIn(healths, std::pair(zone, id)) * linkOf(zone, fleet.at(id).entry.zone);
+    }
     [[nodiscard]] bool urgentCut(Key key, ZoneId zone) const {
         if (key >= kLevelKey) return false;
         const auto s = fleet.find(static_cast<ServerId>(key));
@@ -478,62 +487,74 @@
     }
     void onSums(const ServerSums& r) {
         if (!fleet.count(r.server)) return;
-        Health& h = healths[{r.fromZone, r.server}];
-        notePace(r);
-        noteWindow(r);
+        const ZoneId to = fleet.at(r.server).entry.zone;
+        if (linkOf(r.fromZone, to) == 1) {  // what a broken link does is no sign of the servers behind it
+            notePace(r);
+            noteWindow(r);
+        }
+        note(healths[{r.fromZone, r.server}], r);
+        if (to != r.fromZone) note(links[{r.fromZone, to}], r);
+    }
+    void note(Health& h, const ServerSums& r) const {
         if (now < h.countFrom) return;
+        const std::uint32_t failed = std::min(r.failed, r.tries);
         h.seen.fade(now);
         h.seen.tries += r.tries;
-        h.seen.failed += r.failed;
-        if (r.tries > r.failed) {
-            h.seen.good += r.tries - r.failed;
-            h.seen.time += static_cast<double>(r.meanTime) * (r.tries - r.failed);
-        }
+        h.seen.failed += failed;
+        h.seen.good += r.tries - failed;
+        h.seen.time += static_cast<double>(r.meanTime) * (r.tries - failed);
+    }
+    // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too.
+    // True if it ejects now.
+    bool advance(Health& h, double proof, bool mayEject) {
+        if (h.fit == Fit::ejected) {
+            if (now < h.until) return false;
+            h.fit = Fit::trial;
+            h.until = now + kTrialFor + set.reportEvery + kSecond;
+            return false;
+        }
+        const double least = h.fit == Fit::trial ? kTrialTries : kEjectTries;
+        if (mayEject && h.seen.tries >= least && h.seen.ratio() >= proof) {
+            if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
+            h.fit = Fit::ejected;
+            h.until = now + h.backoff;
+            h.seen = {};
+            h.countFrom = h.until + set.reportEvery + kSecond;  // late sums of before say nothing new
+            return true;
+        }
+        if (h.fit == Fit::trial && now >= h.until) {
+            h.fit = Fit::ok;
+            h.backoff = kEjectFor;
+        }
+        return false;
     }
     void judge() {
         std::vector<double> ratios;
-        std::size_t ready = 0;
-        for (const auto& [id, s] : fleet) ready += s.ready();
         std::map<ZoneId, double> ejected;
+        std::map<ZoneId, Decaying> home;
         for (auto& [key, h] : healths) {
             h.seen.fade(now);
             if (h.fit == Fit::ejected) ejected[key.first] += 1;
             if (h.fit != Fit::ejected && h.seen.tries >= 1) ratios.push_back(h.seen.ratio());
-        }
-        double usual = 0;
-        if (!ratios.empty()) {
-            std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2), ratios.end());
-            usual = ratios[ratios.size() / 2];
+            if (fleet.at(key.second).entry.zone != key.first) continue;
+            home[key.first].tries += h.seen.tries;
+            home[key.first].failed += h.seen.failed;
+        }
+        std::sort(ratios.begin(), ratios.end());
+        const double usual = ratios.empty() ? 0 : ratios[ratios.size() / 2];
+        // A zone that answers nothing to another zone whose own servers answer it is cut off, not broken.
+        for (auto& [key, h] : links) {
+            h.seen.fade(now);
+            advance(h, kEjectRatio, home[key.first].ratio() < kHomeFails);
         }
         // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
         // only servers that answer all but nothing are ejected.
         const double proof = overloaded ? kDeadRatio : std::clamp(3 * usual, kEjectRatio, kDeadRatio);
+        double ready = 0;
+        for (const auto& [id, s] : fleet) ready += s.ready();
         for (auto& [key, h] : healths) {
-            const double ratio = h.seen.ratio();
-            switch (h.fit) {
-                case Fit::ok:
-                case Fit::trial: {
-                    const double least = h.fit == Fit::trial ? 2 : kEjectTries;
-                    if (h.seen.tries >= least && ratio >= proof &&
-                        ejected[key.first] + 1 <= kEjectMost * static_cast<double>(ready)) {
-                        if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
-                        h.fit = Fit::ejected;
-                        h.until = now + h.backoff;
-                        h.seen = {};
-                        h.countFrom = h.until + set.reportEvery + kSecond;
-                        ejected[key.first] += 1;
-                    } else if (h.fit == Fit::trial && now >= h.until) {
-                        h.fit = Fit::ok;
-                    }
-                    break;
-                }
-                case Fit::ejected:
-                    if (now >= h.until) {
-                        h.fit = Fit::trial;
-                        h.until = now + kTrialFor + set.reportEvery + kSecond;
-                    }
-                    break;
-            }
+            if (linkOf(key.first, fleet.at(key.second).entry.zone) < 1) h.seen = {};  // the link is to blame
+            ejected[key.first] += advance(h, proof, ejected[key.first] + 1 <= kEjectMost * ready);
         }
     }
 
