--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,6 +35,7 @@
 constexpr double kDeadRatio = 0.9;              // what it takes when many fail or all are slow
 constexpr double kEjectTries = 4;               // on at least so many recent tries
 constexpr double kTrialTries = 2;               // or so many of a trickle
+constexpr double kLinkRatio = 0.75;             // share of tries across zones failing that proves a cut
 constexpr double kHomeFails = 0.3;              // a zone's own servers fail less: the link is to blame
 constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
 constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
@@ -545,7 +546,7 @@
         // A zone that answers nothing to another zone whose own servers answer it is cut off, not broken.
         for (auto& [key, h] : links) {
             h.seen.fade(now);
-            advance(h, kEjectRatio, home[key.first].ratio() < kHomeFails);
+            advance(h, kLinkRatio, home[key.first].ratio() < kHomeFails);
         }
         // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
         // only servers that answer all but nothing are ejected.
