--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,6 +35,7 @@
 constexpr double kDeadRatio = 0.9;              // what it takes when many fail or all are slow
 constexpr double kEjectTries = 4;               // on at least so many recent tries
 constexpr double kTrialTries = 2;               // or so many of a trickle
+constexpr double kLinkHalfLifeS = 1;            // sums of a link fade faster: it has many tries
 constexpr double kLinkRatio = 0.75;             // share of tries across zones failing that proves a cut
 constexpr double kHomeFails = 0.3;              // a zone's own servers fail less: the link is to blame
 constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
@@ -493,13 +494,13 @@
             notePace(r);
             noteWindow(r);
         }
-        note(healths[{r.fromZone, r.server}], r);
-        if (to != r.fromZone) note(links[{r.fromZone, to}], r);
+        note(healths[{r.fromZone, r.server}], r, kStatHalfLifeS);
+        if (to != r.fromZone) note(links[{r.fromZone, to}], r, kLinkHalfLifeS);
     }
-    void note(Health& h, const ServerSums& r) const {
+    void note(Health& h, const ServerSums& r, double halfLifeS) const {
         if (now < h.countFrom) return;
         const std::uint32_t failed = std::min(r.failed, r.tries);
-        h.seen.fade(now);
+        h.seen.fade(now, halfLifeS);
         h.seen.tries += r.tries;
         h.seen.failed += failed;
         h.seen.good += r.tries - failed;
@@ -545,7 +546,7 @@
         const double usual = ratios.empty() ? 0 : ratios[ratios.size() / 2];
         // A zone that answers nothing to another zone whose own servers answer it is cut off, not broken.
         for (auto& [key, h] : links) {
-            h.seen.fade(now);
+            h.seen.fade(now, kLinkHalfLifeS);
             advance(h, kLinkRatio, home[key.first].ratio() < kHomeFails);
         }
         // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
