--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -61,6 +61,8 @@
 constexpr double kClassFloor = 0.25;            // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
+constexpr double kHotterThanAll = 1.2;          // or this much slower than the fleet
+constexpr double kCalmTries = 10;
 constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
 
 using Hash = std::uint64_t;
@@ -611,21 +613,25 @@
         return at == spills.end() ? 1 : at->second.share;
     }
     void spread() {
-        const double aim = tightestAim();
+        std::map<ZoneId, Decaying> own;  // each zone's servers, whoever met them
         Decaying all;
         bool troubled = false;
         for (const auto& [key, h] : healths) {
-            all.tries += h.seen.tries; all.failed += h.seen.failed;
-            all.good += h.seen.good; all.time += h.seen.time;
-            troubled = troubled || h.fit != Fit::ok;
+            for (Decaying* d : {&own[fleet.at(key.second).entry.zone], &all}) {
+                d->tries += h.seen.tries;
+                d->time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
+            }
+            troubled = troubled || (h.fit != Fit::ok && fleet.at(key.second).ready());
         }
+        const double usual = all.tries > 0 ? all.time / all.tries : 0;
         for (ZoneId z = 0; z < set.zones; ++z) {
             Spill& s = spills[z];
-            if (s.calmSince == 0) s.calmSince = now;
-            const bool hot = all.mean() > kHotTime * aim || all.ratio() > 0.05 || troubled;
-            const bool calm = all.good >= 20 && all.mean() < kCoolTime * aim && all.ratio() < 0.02 && !troubled;
+            const double time = own[z].tries > 0 ? own[z].time / own[z].tries : 0;
+            const bool hot = troubled || time > kHotTime * tightestAim() ||
+                             (time > kCoolTime * tightestAim() && time > kHotterThanAll * usual);
+            const bool calm = !troubled && own[z].tries >= kCalmTries && time < kCoolTime * tightestAim();
             if (hot) s.share = 1;
-            if (!calm) s.calmSince = now;
+            if (!calm || s.calmSince == 0) s.calmSince = now;
             if (now - s.calmSince < kCoolHold) continue;
             s.share = s.share > 0.2 ? s.share / 2 : 0;
             s.calmSince = now;
