--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -61,7 +61,8 @@
 constexpr double kClassFloor = 0.25;            // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
-constexpr double kHotterThanAll = 1.2;          // or this much slower than the fleet
+constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
+constexpr double kBaseCreep = 1.001;            // a tick; machines may get slower for good
 constexpr double kCalmTries = 10;
 constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
 
@@ -605,6 +606,7 @@
     // proven hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
     struct Spill {
         double share = 1;
+        double base = 0;  // the best answer time that its servers have shown
         Micros calmSince = 0;
     };
     std::map<ZoneId, Spill> spills;
@@ -614,22 +616,23 @@
     }
     void spread() {
         std::map<ZoneId, Decaying> own;  // each zone's servers, whoever met them
-        Decaying all;
         bool troubled = false;
         for (const auto& [key, h] : healths) {
-            for (Decaying* d : {&own[fleet.at(key.second).entry.zone], &all}) {
-                d->tries += h.seen.tries;
-                d->time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
-            }
+            Decaying& d = own[fleet.at(key.second).entry.zone];
+            d.tries += h.seen.tries;
+            d.time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
             troubled = troubled || (h.fit != Fit::ok && fleet.at(key.second).ready());
         }
-        const double usual = all.tries > 0 ? all.time / all.tries : 0;
         for (ZoneId z = 0; z < set.zones; ++z) {
             Spill& s = spills[z];
             const double time = own[z].tries > 0 ? own[z].time / own[z].tries : 0;
-            const bool hot = troubled || time > kHotTime * tightestAim() ||
-                             (time > kCoolTime * tightestAim() && time > kHotterThanAll * usual);
-            const bool calm = !troubled && own[z].tries >= kCalmTries && time < kCoolTime * tightestAim();
+            if (own[z].tries >= kCalmTries && time > 0) {
+                s.base = s.base > 0 ? std::min(s.base * kBaseCreep, time) : time;
+            }
+            const bool queueing = time > kQueueing * s.base;
+            const bool hot = troubled || queueing || time > kHotTime * tightestAim();
+            const bool calm = !hot && own[z].tries >= kCalmTries && time < kCoolTime * tightestAim() &&
+                              time < kCalmOfBase * s.base;
             if (hot) s.share = 1;
             if (!calm || s.calmSince == 0) s.calmSince = now;
             if (now - s.calmSince < kCoolHold) continue;
