--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -18,53 +18,53 @@
 constexpr Micros kSecond = 1000 * kMs;
 
 // ---- Tuned values, all of them ----
-constexpr Micros kTick = 200 * kMs;             // how often held changes and health are looked at
-constexpr Micros kMarkTimeout = 3 * kSecond;    // an unanswered mark holds later changes this long
-constexpr Micros kFoldAfter = 2 * kSecond;      // a copy lives at least this long before it is folded back
-constexpr double kBacklogShare = 0.5;           // of the allowed backlog we fill this much
-constexpr double kSlowChannel = 8;              // the channel may run this many times slower than told
-constexpr double kUrgentCap = 1.6;              // what the rules demand may fill this much more
-constexpr Micros kSlotLeast = 200 * kMs;        // least time between two rounds of messages
-constexpr double kRampFrom = 0.25;              // weight of a server that has just started
+constexpr Micros kTick = 200 * kMs;           // how often held changes and health are looked at
+constexpr Micros kMarkTimeout = 3 * kSecond;  // an unanswered mark holds later changes this long
+constexpr Micros kFoldAfter = 2 * kSecond;    // a copy lives at least this long before it is folded back
+constexpr double kBacklogShare = 0.5;         // of the allowed backlog we fill this much
+constexpr double kSlowChannel = 8;            // the channel may run this many times slower than told
+constexpr double kUrgentCap = 1.6;            // what the rules demand may fill this much more
+constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
+constexpr double kRampFrom = 0.25;            // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.75, kColdShut = 0.6;  // share of tries answered that opens, shuts cold servers
-constexpr double kTipPerLoad = 2.5;               // load that a ramp may meet, as a part of the tip multiple
-constexpr double kColdTries = 5;                // on at least so many tries
-constexpr double kStatHalfLifeS = 2.5;          // health sums fade with this half-life
-constexpr double kEjectRatio = 0.5;             // share of failed tries at which a server is ejected
-constexpr double kDeadRatio = 0.9;              // what it takes when many fail or all are slow
-constexpr double kEjectTries = 4;               // on at least so many recent tries
-constexpr double kTrialTries = 2;               // or so many of a trickle
-constexpr double kLinkHalfLifeS = 1;            // sums of a link fade faster: it has many tries
-constexpr double kLinkRatio = 0.75;             // share of tries across zones failing that proves a cut
-constexpr double kHomeFails = 0.3;              // a zone's own servers fail less: the link is to blame
-constexpr double kEjectMost = 0.3;              // of the ready servers, at most this share is ejected
-constexpr Micros kEjectFor = 4 * kSecond;       // first ejection; doubles with each failed trial
+constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
+constexpr double kColdTries = 5;           // on at least so many tries
+constexpr double kStatHalfLifeS = 2.5;     // health sums fade with this half-life
+constexpr double kEjectRatio = 0.5;        // share of failed tries at which a server is ejected
+constexpr double kDeadRatio = 0.9;         // what it takes when many fail or all are slow
+constexpr double kEjectTries = 4;          // on at least so many recent tries
+constexpr double kTrialTries = 2;          // or so many of a trickle
+constexpr double kLinkHalfLifeS = 1;       // sums of a link fade faster: it has many tries
+constexpr double kLinkRatio = 0.75;        // share of tries across zones failing that proves a cut
+constexpr double kHomeFails = 0.3;         // a zone's own servers fail less: the link is to blame
+constexpr double kEjectMost = 0.3;         // of the ready servers, at most this share is ejected
+constexpr Micros kEjectFor = 4 * kSecond;  // first ejection; doubles with each failed trial
 constexpr Micros kEjectForMost = 16 * kSecond;
-constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
+constexpr double kTrialWeight = 0.1;  // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
-constexpr double kShiftPower = 0.7;             // how strongly a server's slowness moves its weight
-constexpr double kShiftPrior = 8;               // tries at the fleet's mean that every server is credited with
-constexpr double kPaceHalfLifeS = 6;            // answer times fade with this half-life
+constexpr double kShiftPower = 0.7;   // how strongly a server's slowness moves its weight
+constexpr double kShiftPrior = 8;     // tries at the fleet's mean, credited to each
+constexpr double kPaceHalfLifeS = 6;  // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
 constexpr double kShiftLeast = 0.25, kShiftMost = 2;
-constexpr double kFailedAims = 2;               // a failed try counts as an answer after this many aims
-constexpr double kHotServer = 0.6;              // answer time, in tightest aims, from which a server is hot
-constexpr double kOverTime = 0.8;               // fleet's answer time that proves overload, with half its servers hot
-constexpr double kEaseTime = 0.5;               // below this the limit is raised again
-constexpr double kDemandGain = 0.2;             // how fast the picture of demand follows
+constexpr double kFailedAims = 2;    // a failed try counts as an answer after this many aims
+constexpr double kHotServer = 0.6;   // answer time, in tightest aims, from which a server is hot
+constexpr double kOverTime = 0.8;    // the fleet's answer time that proves overload
+constexpr double kEaseTime = 0.5;    // below this the limit is raised again
+constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
-constexpr double kProvenFade = 0.98;            // a window
-constexpr double kLimitFloor = 0.5;             // of the proven rate: no limit goes below this
+constexpr double kProvenFade = 0.98;  // a window
+constexpr double kLimitFloor = 0.5;   // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
-constexpr double kClassFloor = 0.25;            // a class keeps this share while another can still give
-constexpr double kCoolTime = 0.3;               // mean answer time, in tightest aims, of a zone with slack
+constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
+constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
 constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
-constexpr double kBaseCreep = 1.001;            // a tick; machines may get slower for good
+constexpr double kBaseCreep = 1.001;                  // a tick; machines may get slower for good
 constexpr double kCalmTries = 10;
-constexpr Micros kCoolHold = 5 * kSecond;       // calm this long before a zone draws its lines in
+constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
 using Hash = std::uint64_t;
 using Key = std::uint64_t;  // a server's id, or kLevelKey + class
@@ -72,7 +72,10 @@
 
 Hash hashOf(float value, unsigned mode) {
     Hash h = 1469598103934665603ULL;
-    const auto mix = [&h](std::uint64_t x) { h = (h ^ x) * 1099511628211ULL; h ^= h >> 29U; };
+    const auto mix = [&h](std::uint64_t x) {
+        h = (h ^ x) * 1099511628211ULL;
+        h ^= h >> 29U;
+    };
     mix(static_cast<std::uint64_t>(std::llround(static_cast<double>(value) * 4096)));
     mix(mode);
     return h | 1U;  // 0 stands for "no such line"
@@ -86,7 +89,10 @@
     Micros at = 0;
     void fade(Micros now, double halfLifeS = kStatHalfLifeS) {
         const double keep = std::exp2(-static_cast<double>(now - at) / (halfLifeS * kSecond));
-        tries *= keep; failed *= keep; time *= keep; good *= keep;
+        tries *= keep;
+        failed *= keep;
+        time *= keep;
+        good *= keep;
         at = now;
     }
     [[nodiscard]] double ratio() const { return tries > 0 ? failed / tries : 0; }
@@ -120,7 +126,8 @@
         }
         if (news.kind == ListNewsKind::delta) return;
         for (auto& [id, server] : fleet) {
-            if (!named.count(id)) server.entry.state = ServerState::gone;  // a whole list replaces the old one
+            if (!named.count(id))
+                server.entry.state = ServerState::gone;  // a whole list replaces the old one
         }
     }
     bool asked = false;
@@ -175,7 +182,10 @@
         }
         void settle() {  // an answer moves marked lines into the acknowledged hashes
             for (const auto& [key, hash] : pending) {
-                if (hash == 0) acked.erase(key); else acked[key] = hash;
+                if (hash == 0)
+                    acked.erase(key);
+                else
+                    acked[key] = hash;
             }
             pending.clear();
             unanswered.clear();
@@ -189,7 +199,7 @@
     struct Proxy {
         ZoneId zone = 0;
         double rate = 0;
-        std::vector<TableId> tables;  // by group
+        std::vector<TableId> tables;      // by group
         std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
     };
     std::map<ProxyId, Proxy> proxies;
@@ -218,7 +228,8 @@
 
     void order(TableId id, Key key, const Entry& entry) {
         if (key >= kLevelKey) {
-            out.push_back(SetLevel{id, entry.value, static_cast<ClassMask>(1U << (key - kLevelKey)), entry.mode});
+            out.push_back(
+                SetLevel{id, entry.value, static_cast<ClassMask>(1U << (key - kLevelKey)), entry.mode});
         } else {
             out.push_back(SetLine{id, static_cast<ServerId>(key), entry.value});
         }
@@ -331,7 +342,8 @@
     void releaseSilent() {
         std::vector<std::pair<TableId, std::set<ProxyId>>> late;
         for (auto& [id, t] : tables) {
-            if (!t.unanswered.empty() && now - t.markedAt >= kMarkTimeout) late.emplace_back(id, t.unanswered);
+            if (!t.unanswered.empty() && now - t.markedAt >= kMarkTimeout)
+                late.emplace_back(id, t.unanswered);
         }
         for (const auto& [id, silent] : late) {
             Table& t = tables.at(id);
@@ -379,7 +391,8 @@
     }
     void drainChannel() {  // proxies that never answer: a channel at its slowest has still sent this much
         while (!channel.empty() &&
-               static_cast<double>(now - channel.front().at) / kSecond * set.pushRate / kSlowChannel > waiting) {
+               static_cast<double>(now - channel.front().at) / kSecond * set.pushRate / kSlowChannel >
+                   waiting) {
             waiting -= channel.front().lines;
             channel.pop_front();
         }
@@ -395,7 +408,8 @@
     }
     [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) const {
         const double cap = set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0);
-        return slotOpen && waiting + turnLines + static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= cap;
+        return slotOpen &&
+               waiting + turnLines + static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= cap;
     }
     void write(ProxyId id, double lines) {
         ordered = true;
@@ -553,13 +567,14 @@
             advance(h, kLinkRatio, home[key.first].ratio() < kHomeFails);
         }
         // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
-        // only servers that answer all but nothing are ejected.
+        // only servers that answer all but nothing are ejected, and nobody once half of them fail.
+        const bool panic = usual > kEjectRatio;
         const double proof = overloaded ? kDeadRatio : std::clamp(3 * usual, kEjectRatio, kDeadRatio);
         double ready = 0;
         for (const auto& [id, s] : fleet) ready += s.ready();
         for (auto& [key, h] : healths) {
             if (linkOf(key.first, fleet.at(key.second).entry.zone) < 1) h.seen = {};  // the link is to blame
-            ejected[key.first] += advance(h, proof, ejected[key.first] + 1 <= kEjectMost * ready);
+            ejected[key.first] += advance(h, proof, !panic && ejected[key.first] + 1 <= kEjectMost * ready);
         }
     }
 
@@ -571,7 +586,8 @@
     [[nodiscard]] double shiftOf(ServerId id) const {
         const auto at = shifts.find(id);
         if (at == shifts.end()) return 1;
-        return warm(fleet.at(id)) ? at->second : std::min(1.0, at->second);  // a cold one looks fast while idle
+        return warm(fleet.at(id)) ? at->second
+                                  : std::min(1.0, at->second);  // a cold one looks fast while idle
     }
     [[nodiscard]] double tightestAim() const {
         double aim = 1e18;
@@ -644,15 +660,15 @@
     // ======== 7. Levels and retries ========
     // Levels are set only under proven overload: answers are slow on the whole and on half the servers.
     // Without them clients' repeats keep a fleet full of work that nobody waits for any more.
-    struct Demand { double rate = 0; };
-    std::map<std::pair<ProxyId, std::size_t>, Demand> demands;  // requests a second that come
-    double limit = 0;     // admitted tries a second over all our proxies; 0: no limit
+    std::map<std::pair<ProxyId, std::size_t>, double> demands;  // requests a second that come
+    double limit = 0;  // admitted tries a second over all our proxies; 0: no limit
     bool overloaded = false;
 
     void onDemand(const ProxyDemand& d) {
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
-        Demand& mine = demands[{d.proxy, d.klass}];
-        mine.rate += kDemandGain * (d.came * static_cast<double>(kSecond) / static_cast<double>(d.period) - mine.rate);
+        double& mine = demands[{d.proxy, d.klass}];
+        const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
+        mine += kDemandGain * (rate - mine);
     }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
     // lest the same jam be answered over and over.
@@ -688,7 +704,7 @@
         const double admitted = all.tries / seconds;
         proven = std::max(proven * kProvenFade, (all.tries - all.failed) / seconds);
         double came = 0;
-        for (const auto& [key, d] : demands) came += d.rate;
+        for (const auto& [key, d] : demands) came += d;
         if (slow > kOverTime && hot * 2 > seen) {
             overloaded = true;
             const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
@@ -696,7 +712,10 @@
             windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
             limit *= std::clamp(std::sqrt(kEaseTime / slow), kRaiseLeast, kRaiseMost);
-            if (limit > 1.2 * came) { overloaded = false; limit = 0; }
+            if (limit > 1.2 * came) {
+                overloaded = false;
+                limit = 0;
+            }
         }
     }
     // The share of each class let in: the least worth for its work (which grows with its aim) gives first.
@@ -705,11 +724,11 @@
         std::vector<double> load(n, 0), keep(n, 1);
         double total = 0;
         for (const auto& [key, d] : demands) {
-            load[key.second] += d.rate * static_cast<double>(set.classes[key.second].aim);
+            load[key.second] += d * static_cast<double>(set.classes[key.second].aim);
         }
         for (const double l : load) total += l;
         double came = 0;
-        for (const auto& [key, d] : demands) came += d.rate;
+        for (const auto& [key, d] : demands) came += d;
         if (limit <= 0 || came <= 0) return keep;
         double excess = total * std::max(0.0, 1 - limit / came);
         std::vector<std::size_t> order(n);
@@ -734,8 +753,8 @@
         double total = 0;
         for (const auto& [key, d] : demands) {
             if (key.second != klass) continue;
-            rates.push_back(d.rate);
-            total += d.rate;
+            rates.push_back(d);
+            total += d;
         }
         std::sort(rates.begin(), rates.end());
         double left = total * keep;
@@ -791,8 +810,73 @@
                 const ZoneId home = homeZone(id, p.zone, groups[g]);
                 if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, 40, true)) continue;
                 const auto main = mains.find({home, g});
-                if (main == mains.end()) bindFresh({id}, home, g); else bind(id, main->second);
+                if (main == mains.end())
+                    bindFresh({id}, home, g);
+                else
+                    bind(id, main->second);
+            }
+        }
+    }
+
+    // ======== Sites with slices ========
+    // Slices stay where the store has them. One moves only when none of its servers is ready; where a slice
+    // has one owner, the new one waits until a proxy that has lost us has stopped writing to the old one
+    // (the lease) and what it had taken in is over (the settle time).
+    struct Slice {
+        std::set<ServerId> lines;
+        Micros freeAt = 0;
+    };
+    std::map<TableId, Slice> slices;  // those in our charge
+
+    void onGiven(const SliceGiven& g) {
+        slices.erase(g.slice);
+        if (g.given) slices[g.slice].freeAt = ownerWait();
+    }
+    void onLine(const SliceLine& l) {
+        const auto at = slices.find(l.slice);
+        if (at != slices.end() && l.weight > 0) at->second.lines.insert(l.server);
+    }
+    [[nodiscard]] Micros ownerWait() const { return set.oneOwner ? now + set.writeLease + set.settle : now; }
+    // The ready server with the fewest slices for its weight; cold ones only where no warm one is ready.
+    [[nodiscard]] const ServerId* leastUsed() const {
+        std::map<ServerId, double> used;
+        for (const auto& [id, slice] : slices) {
+            for (const ServerId s : slice.lines) used[s] += 1;
+        }
+        const ServerId* best = nullptr;
+        const auto cost = [&](ServerId id) {
+            const Server& s = fleet.at(id);
+            return std::pair(!warm(s), (used[id] + 1) / s.weight());
+        };
+        for (const auto& [id, s] : fleet) {
+            if (s.ready() && (best == nullptr || cost(id) < cost(*best))) best = &id;
+        }
+        return best;
+    }
+    void runSlices() {
+        std::set<ProxyId> all;
+        for (const auto& [id, p] : proxies) all.insert(id);
+        const auto tell = [&](TableId slice, ServerId server, float weight) {
+            out.push_back(SetLine{slice, server, weight});
+            for (const ProxyId p : all) write(p, 1);
+            ordered = true;
+        };
+        for (auto& [id, slice] : slices) {
+            if (!mayWrite(all, 2, true)) return;
+            const bool served = std::any_of(slice.lines.begin(), slice.lines.end(), [&](ServerId s) {
+                const auto at = fleet.find(s);
+                return at != fleet.end() && at->second.ready();
+            });
+            if (served || fleet.empty()) continue;
+            if (!slice.lines.empty()) {
+                for (const ServerId s : slice.lines) tell(id, s, 0);
+                slice.lines.clear();
+                slice.freeAt = ownerWait();
             }
+            const ServerId* next = now >= slice.freeAt ? leastUsed() : nullptr;
+            if (next == nullptr) continue;
+            tell(id, *next, 1);
+            slice.lines.insert(*next);
         }
     }
 
@@ -800,6 +884,12 @@
     Micros nextTick = 0;
     bool started = false;
 
+    void runTables() {
+        rebind();
+        for (auto& [id, t] : tables) push(id, t);
+        releaseSilent();
+        foldCopies();
+    }
     void handle(const Event& event) {
         if (const auto* e = std::get_if<ListNews>(&event)) onList(*e);
         if (const auto* e = std::get_if<ProxyJoined>(&event)) onJoin(*e);
@@ -807,6 +897,8 @@
         if (const auto* e = std::get_if<ServerSums>(&event)) onSums(*e);
         if (const auto* e = std::get_if<ProxyDemand>(&event)) onDemand(*e);
         if (const auto* e = std::get_if<Acknowledged>(&event)) onAnswer(*e);
+        if (const auto* e = std::get_if<SliceGiven>(&event)) onGiven(*e);
+        if (const auto* e = std::get_if<SliceLine>(&event)) onLine(*e);
     }
     void turn(const std::vector<Event>& events) {
         if (!started) askForList();
@@ -815,7 +907,7 @@
         drainChannel();
         openSlot();
         withdraw();
-        bindJoined();
+        if (set.shards == 0) bindJoined();
         if (now >= nextTick) {
             judge();
             noteAnswered();
@@ -825,10 +917,10 @@
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
         }
-        rebind();
-        for (auto& [id, t] : tables) push(id, t);
-        releaseSilent();
-        foldCopies();
+        if (set.shards > 0)
+            runSlices();
+        else
+            runTables();
         closeTurn();
     }
 };
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -7,7 +7,8 @@
 namespace marldale::wire {
 namespace {
 
-static_assert(std::endian::native == std::endian::little, "the codec copies little-endian fields as they are");
+static_assert(std::endian::native == std::endian::little,
+              "the codec copies little-endian fields as they are");
 
 constexpr std::size_t kEventBytes = 48;
 constexpr std::size_t kActionBytes = 24;
@@ -15,7 +16,8 @@
 
 template <class T>
 T load(std::string_view bytes, std::size_t at) {
-    if (at > bytes.size() || bytes.size() - at < sizeof(T)) throw Malformed("a field lies outside its record");
+    if (at > bytes.size() || bytes.size() - at < sizeof(T))
+        throw Malformed("a field lies outside its record");
     T out;
     std::memcpy(&out, bytes.data() + at, sizeof(T));
     return out;
@@ -39,7 +41,8 @@
 }
 
 // A field of offset and length into the tail; for entries the length counts items of `width` bytes.
-std::string_view tailField(std::string_view record, std::size_t at, std::string_view tail, std::size_t width) {
+std::string_view tailField(std::string_view record, std::size_t at, std::string_view tail,
+                           std::size_t width) {
     const std::size_t offset = load<std::uint32_t>(record, at);
     const std::size_t bytes = std::size_t{load<std::uint32_t>(record, at + 4)} * width;
     if (offset > tail.size() || bytes > tail.size() - offset) {
@@ -133,17 +136,21 @@
                                load<std::uint8_t>(r, 13) != 0};
         case 1070: return ProxyLeft{load<std::uint16_t>(r, 6)};
         case 1080:
-            return Acknowledged{load<std::uint16_t>(r, 6), load<std::uint64_t>(r, 8), load<std::uint32_t>(r, 16)};
+            return Acknowledged{load<std::uint16_t>(r, 6), load<std::uint64_t>(r, 8),
+                                load<std::uint32_t>(r, 16)};
         case 1090: return serverSums(r);
         case 1100:
-            return ProxyDemand{load<std::uint16_t>(r, 6), load<std::uint16_t>(r, 8), load<std::uint32_t>(r, 10),
-                               load<std::uint32_t>(r, 14), load<std::uint32_t>(r, 18)};
+            return ProxyDemand{load<std::uint16_t>(r, 6), load<std::uint16_t>(r, 8),
+                               load<std::uint32_t>(r, 10), load<std::uint32_t>(r, 14),
+                               load<std::uint32_t>(r, 18)};
         case 1110:
-            return SliceDemand{load<std::uint16_t>(r, 20), load<std::uint16_t>(r, 10), load<std::uint32_t>(r, 16),
-                               load<std::uint32_t>(r, 12), load<std::uint32_t>(r, 6)};
+            return SliceDemand{load<std::uint16_t>(r, 20), load<std::uint16_t>(r, 10),
+                               load<std::uint32_t>(r, 16), load<std::uint32_t>(r, 12),
+                               load<std::uint32_t>(r, 6)};
         case 1120: return SliceGiven{load<std::uint16_t>(r, 6), load<std::uint8_t>(r, 8) != 0};
         case 1130:
-            return SliceLine{load<std::uint16_t>(r, 6), load<std::uint32_t>(r, 12), finite(load<float>(r, 8))};
+            return SliceLine{load<std::uint16_t>(r, 6), load<std::uint32_t>(r, 12),
+                             finite(load<float>(r, 8))};
         default: return std::nullopt;  // an unknown event, or `whisper`, which no module asks for yet
     }
 }
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -39,13 +39,15 @@
 }
 
 [[noreturn]] void unreadable(std::string_view path, std::string_view value) {
-    throw MalformedSetting("setting " + std::string(path) + " can't be read: " + std::string(value.substr(0, 60)));
+    throw MalformedSetting("setting " + std::string(path) +
+                           " can't be read: " + std::string(value.substr(0, 60)));
 }
 
 double toNumber(std::string_view path, std::string_view value) {
     double out = 0;
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), out);
-    if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(out) || out < 0 || out > 1e15) {
+    if (error != std::errc{} || end != value.data() + value.size() || !std::isfinite(out) || out < 0 ||
+        out > 1e15) {
         unreadable(path, value);
     }
     return out;
