--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -55,6 +55,8 @@
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
+constexpr double kLeastSpanS = 0.1;  // guards a rate against a span of nothing
+constexpr double kLimitTries = 10;
 constexpr double kProvenFade = 0.98;  // a window
 constexpr double kLimitFloor = 0.5;   // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
@@ -84,19 +86,31 @@
 // Factors move in steps of a quarter octave, so that noise in what they come from sends no orders.
 double stepped(double factor) { return factor <= 0 ? 0 : std::exp2(std::round(std::log2(factor) * 4) / 4); }
 
-struct Decaying {  // tries and failures, fading
-    double tries = 0, failed = 0, time = 0, good = 0;
+// Sums of tries, fading if asked to. A failed try counts as an answer after `failedTime`.
+struct Tally {
+    double tries = 0, failed = 0, time = 0, seconds = 0;
     Micros at = 0;
-    void fade(Micros now, double halfLifeS = kStatHalfLifeS) {
+    void fade(Micros now, double halfLifeS) {
         const double keep = std::exp2(-static_cast<double>(now - at) / (halfLifeS * kSecond));
         tries *= keep;
         failed *= keep;
         time *= keep;
-        good *= keep;
         at = now;
     }
+    void add(const ServerSums& r, double failedTime) {
+        const std::uint32_t bad = std::min(r.failed, r.tries);
+        tries += r.tries;
+        failed += bad;
+        time += static_cast<double>(r.meanTime) * (r.tries - bad) + bad * failedTime;
+        seconds += static_cast<double>(r.period) / kSecond;
+    }
+    void add(const Tally& t) {
+        tries += t.tries;
+        failed += t.failed;
+        time += t.time;
+    }
     [[nodiscard]] double ratio() const { return tries > 0 ? failed / tries : 0; }
-    [[nodiscard]] double mean() const { return good > 0 ? time / good : 0; }
+    [[nodiscard]] double mean() const { return tries > 0 ? time / tries : 0; }
 };
 
 }  // namespace
@@ -458,10 +472,9 @@
     bool coldOpen = false;
     double calmWeight = 0;  // the most weight that warm, healthy servers have had
     void noteAnswered() {
-        Decaying all;
+        Tally all;
         for (const auto& [key, h] : healths) {
-            all.tries += h.seen.tries;
-            all.failed += h.seen.failed;
+            all.add(h.seen);
         }
         double weight = 0;
         for (const auto& [id, s] : fleet) {
@@ -482,7 +495,7 @@
     struct Health {
         Fit fit = Fit::ok;
         Micros until = 0, backoff = kEjectFor, countFrom = 0;
-        Decaying seen;
+        Tally seen;
     };
     std::map<std::pair<ZoneId, ServerId>, Health> healths;
 
@@ -516,13 +529,16 @@
     }
     void note(Health& h, const ServerSums& r, double halfLifeS) const {
         if (now < h.countFrom) return;
-        const std::uint32_t failed = std::min(r.failed, r.tries);
         h.seen.fade(now, halfLifeS);
-        h.seen.tries += r.tries;
-        h.seen.failed += failed;
-        h.seen.good += r.tries - failed;
-        h.seen.time += static_cast<double>(r.meanTime) * (r.tries - failed);
+        h.seen.add(r, failedTime());
     }
+    [[nodiscard]] double tightestAim() const {
+        double aim = static_cast<double>(set.classes.front().aim);
+        for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
+        return aim;
+    }
+    [[nodiscard]] double failedTime() const { return kFailedAims * tightestAim(); }
+
     // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too.
     // True if it ejects now.
     bool advance(Health& h, double proof, bool mayEject) {
@@ -550,14 +566,13 @@
     void judge() {
         std::vector<double> ratios;
         std::map<ZoneId, double> ejected;
-        std::map<ZoneId, Decaying> home;
+        std::map<ZoneId, Tally> home;
         for (auto& [key, h] : healths) {
-            h.seen.fade(now);
+            h.seen.fade(now, kStatHalfLifeS);
             if (h.fit == Fit::ejected) ejected[key.first] += 1;
             if (h.fit != Fit::ejected && h.seen.tries >= 1) ratios.push_back(h.seen.ratio());
             if (fleet.at(key.second).entry.zone != key.first) continue;
-            home[key.first].tries += h.seen.tries;
-            home[key.first].failed += h.seen.failed;
+            home[key.first].add(h.seen);
         }
         std::sort(ratios.begin(), ratios.end());
         const double usual = ratios.empty() ? 0 : ratios[ratios.size() / 2];
@@ -580,7 +595,7 @@
 
     // Slowness: weights move slowly towards equal answer times. Failed tries count as very slow answers,
     // so that a server that fails fast does not attract load.
-    std::map<ServerId, Decaying> paces;
+    std::map<ServerId, Tally> paces;
     std::map<ServerId, double> shifts;
     Micros nextShift = 0;
     [[nodiscard]] double shiftOf(ServerId id) const {
@@ -589,29 +604,21 @@
         return warm(fleet.at(id)) ? at->second
                                   : std::min(1.0, at->second);  // a cold one looks fast while idle
     }
-    [[nodiscard]] double tightestAim() const {
-        double aim = 1e18;
-        for (const ClassSettings& k : set.classes) aim = std::min(aim, static_cast<double>(k.aim));
-        return aim;
-    }
     void notePace(const ServerSums& r) {
-        Decaying& d = paces[r.server];
+        Tally& d = paces[r.server];
         d.fade(now, kPaceHalfLifeS);
-        d.tries += r.tries;
-        d.time += static_cast<double>(r.meanTime) * (r.tries - std::min(r.failed, r.tries)) +
-                  r.failed * kFailedAims * tightestAim();
+        d.add(r, failedTime());
     }
     void shift() {
         if (now < nextShift) return;
         nextShift = now + kShiftEvery;
-        double time = 0, tries = 0;
-        for (auto& [id, d] : paces) {
-            d.fade(now, kPaceHalfLifeS);
-            time += d.time;
-            tries += d.tries;
-        }
-        if (tries < 1 || time <= 0) return;
-        const double usual = time / tries;
+        Tally all;
+        for (auto& [id, t] : paces) {
+            t.fade(now, kPaceHalfLifeS);
+            all.add(t);
+        }
+        const double usual = all.mean();
+        if (usual <= 0) return;
         for (const auto& [id, d] : paces) {
             const double mine = (d.time + kShiftPrior * usual) / (d.tries + kShiftPrior);
             shifts[id] = std::clamp(std::pow(usual / mine, kShiftPower), kShiftLeast, kShiftMost);
@@ -631,17 +638,15 @@
         return at == spills.end() ? 1 : at->second.share;
     }
     void spread() {
-        std::map<ZoneId, Decaying> own;  // each zone's servers, whoever met them
+        std::map<ZoneId, Tally> own;  // each zone's servers, whoever met them
         bool troubled = false;
         for (const auto& [key, h] : healths) {
-            Decaying& d = own[fleet.at(key.second).entry.zone];
-            d.tries += h.seen.tries;
-            d.time += h.seen.time + h.seen.failed * kFailedAims * tightestAim();
+            own[fleet.at(key.second).entry.zone].add(h.seen);
             troubled = troubled || (h.fit != Fit::ok && fleet.at(key.second).ready());
         }
         for (ZoneId z = 0; z < set.zones; ++z) {
             Spill& s = spills[z];
-            const double time = own[z].tries > 0 ? own[z].time / own[z].tries : 0;
+            const double time = own[z].mean();
             if (own[z].tries >= kCalmTries && time > 0) {
                 s.base = s.base > 0 ? std::min(s.base * kBaseCreep, time) : time;
             }
@@ -672,37 +677,30 @@
     }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
     // lest the same jam be answered over and over.
-    std::map<ServerId, Decaying> window;
+    std::map<std::pair<ZoneId, ServerId>, Tally> window;
     Micros windowFrom = 0;
     double proven = 0;  // good answers a second that the fleet has given us
 
     void noteWindow(const ServerSums& r) {
-        if (now < windowFrom) return;
-        Decaying& d = window[r.server];
-        const std::uint32_t failed = std::min(r.failed, r.tries);
-        d.tries += r.tries;
-        d.failed += failed;
-        d.time += static_cast<double>(r.meanTime) * (r.tries - failed) + failed * kFailedAims * tightestAim();
+        if (now >= windowFrom) window[{r.fromZone, r.server}].add(r, failedTime());
     }
     void setLimit() {
-        const Micros span = set.reportEvery + kWindowExtra;
-        if (now < windowFrom + span) return;
-        Decaying all;
+        if (now < windowFrom + set.reportEvery + kWindowExtra) return;
+        Tally all;
+        double admitted = 0, good = 0;  // a second; each sum covers a span of its own
         std::size_t hot = 0;
-        for (const auto& [id, d] : window) {
-            all.tries += d.tries;
-            all.failed += d.failed;
-            all.time += d.time;
-            hot += d.time > kHotServer * tightestAim() * d.tries;
-        }
         const std::size_t seen = window.size();
-        const double seconds = static_cast<double>(now - windowFrom) / kSecond;
+        for (const auto& [key, t] : window) {
+            all.add(t);
+            hot += t.mean() > kHotServer * tightestAim();
+            admitted += t.tries / std::max(t.seconds, kLeastSpanS);
+            good += (t.tries - t.failed) / std::max(t.seconds, kLeastSpanS);
+        }
         window.clear();
         windowFrom = now;
-        if (all.tries < 10) return;
-        const double slow = all.time / all.tries / tightestAim();
-        const double admitted = all.tries / seconds;
-        proven = std::max(proven * kProvenFade, (all.tries - all.failed) / seconds);
+        if (all.tries < kLimitTries) return;
+        const double slow = all.mean() / tightestAim();
+        proven = std::max(proven * kProvenFade, good);
         double came = 0;
         for (const auto& [key, d] : demands) came += d;
         if (slow > kOverTime && hot * 2 > seen) {
