Demand from the first count, limit floor 0.8 of proven, overload from 0.7 aims

May hurt: a fleet that loses much of its capacity for good keeps a limit above it until the proven rate has faded.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -50,7 +50,7 @@
 constexpr double kShiftLeast = 0.25, kShiftMost = 2;
 constexpr double kFailedAims = 2;    // a failed try counts as an answer after this many aims
 constexpr double kHotServer = 0.6;   // answer time, in tightest aims, from which a server is hot
-constexpr double kOverTime = 0.8;    // the fleet's answer time that proves overload
+constexpr double kOverTime = 0.7;    // the fleet's answer time that proves overload
 constexpr double kEaseTime = 0.5;    // below this the limit is raised again
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
@@ -58,7 +58,7 @@
 constexpr double kLeastSpanS = 0.1;  // guards a rate against a span of nothing
 constexpr double kLimitTries = 10;
 constexpr double kProvenFade = 0.98;  // a window
-constexpr double kLimitFloor = 0.5;   // of the proven rate: no limit goes below this
+constexpr double kLimitFloor = 0.8;   // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
@@ -673,7 +673,7 @@
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
         double& mine = demands[{d.proxy, d.klass}];
         const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
-        mine += kDemandGain * (rate - mine);
+        mine += (mine > 0 ? kDemandGain : 1) * (rate - mine);
     }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
     // lest the same jam be answered over and over.
