--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -29,6 +29,7 @@
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.75, kColdShut = 0.6;  // share of tries answered that opens, shuts cold servers
 constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
+constexpr double kCarriedFade = 0.998;          // a tick
 constexpr double kColdTries = 5;           // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;     // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;        // share of failed tries at which a server is ejected
@@ -136,7 +137,9 @@
         std::set<ServerId> named;
         for (const ListEntry& entry : news.entries) {
             named.insert(entry.server);
-            fleet[entry.server].entry = entry;
+            Server& s = fleet[entry.server];
+            if (entry.bootTime > s.entry.bootTime) forget(entry.server);
+            s.entry = entry;
         }
         if (news.kind == ListNewsKind::delta) return;
         for (auto& [id, server] : fleet) {
@@ -470,6 +473,7 @@
     // weight, and nothing while most tries fail or a planner that has just started cannot tell yet.
     double answered = 0;
     bool coldOpen = false;
+    double carried = 0;     // the most answered tries that the fading sums have held
     double calmWeight = 0;  // the most weight that warm, healthy servers have had
     void noteAnswered() {
         Tally all;
@@ -484,7 +488,8 @@
         if (all.tries >= kColdTries && calmWeight > 0) {
             // A fleet that tips only at a high multiple leaves room before the shrinking has to begin.
             const double room = std::max(1.0, set.tipMultiple / kTipPerLoad);
-            answered = std::min(1.0, room * (1 - all.ratio()) * weight / calmWeight);
+            carried = std::max(carried * kCarriedFade, all.tries - all.failed);
+            answered = std::min(1.0, room * carried / all.tries * weight / calmWeight);
         }
         if (answered < kColdShut) coldOpen = false;
         if (answered > kColdOpen) coldOpen = true;
@@ -539,6 +544,12 @@
     }
     [[nodiscard]] double failedTime() const { return kFailedAims * tightestAim(); }
 
+    // What a process did is no sign of its successor: one that hung and came back is only cold (i4aa4a7).
+    void forget(ServerId id) {
+        for (ZoneId z = 0; z < set.zones; ++z) healths.erase({z, id});
+        paces.erase(id);
+        shifts.erase(id);
+    }
     // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too.
     // True if it ejects now.
     bool advance(Health& h, double proof, bool mayEject) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -224,6 +224,18 @@
     EXPECT_FLOAT_EQ(weight, full);
 }
 
+// Found by incident i4aa4a7: servers that had vanished kept the trickle of an ejected one on top of their ramp.
+TEST(SlowStart, ARestartedServerIsNotHeldToWhatItsFormerProcessDid) {
+    Rig rig = settledRig();
+    rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
+    rig.sums({2}, 10, 10, 0);
+    rig.run(600 * kMs);
+    ASSERT_FLOAT_EQ(rig.weight(0, 2), 0);
+    rig.list({server(2, 0, ready, rig.now)}, ListNewsKind::delta);
+    rig.run(600 * kMs);
+    EXPECT_GT(rig.weight(0, 2), 0.15F * rig.weight(0, 1));
+}
+
 // Found by incident i6bbaa1: half a fleet came back cold into a jam and was pushed over.
 TEST(SlowStart, InAJamColdServersTakeNothing) {
     Rig rig = settledRig();
