--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,7 @@
 constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
 constexpr double kRampFrom = 0.25;            // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
-constexpr double kColdOpen = 0.75, kColdShut = 0.6;  // share of tries answered that opens, shuts cold servers
+constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // share of tries answered that opens, shuts cold servers
 constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
 constexpr double kCarriedFade = 0.998;          // a tick
 constexpr double kColdTries = 5;           // on at least so many tries
