--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -45,6 +45,8 @@
 constexpr double kTrialWeight = 0.1;  // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
 constexpr double kShiftPower = 0.7;   // how strongly a server's slowness moves its weight
+constexpr double kLean = 0.05;                    // how fast weight leans away from slow zones, a second
+constexpr double kZoneTries = 20, kLeanLeast = 0.4, kLeanMost = 1.6;
 constexpr double kShiftPrior = 8;     // tries at the fleet's mean, credited to each
 constexpr double kPaceHalfLifeS = 6;  // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
@@ -231,7 +233,7 @@
             if (!s.ready() || !g.opens(s.entry.zone)) continue;
             const bool local = s.entry.zone == zone;
             if (!local && g.ownZoneOnly) continue;
-            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * (local ? 1.0 : spillOf(zone));
+            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * leanOf(s.entry.zone) * (local ? 1.0 : spillOf(zone));
             if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
         }
         if (c.empty()) {  // never leave a table without a line while anything is ready
@@ -608,6 +610,11 @@
     // so that a server that fails fast does not attract load.
     std::map<ServerId, Tally> paces;
     std::map<ServerId, double> shifts;
+    std::map<ZoneId, double> leans;
+    [[nodiscard]] double leanOf(ZoneId zone) const {
+        const auto at = leans.find(zone);
+        return at == leans.end() ? 1 : at->second;
+    }
     Micros nextShift = 0;
     [[nodiscard]] double shiftOf(ServerId id) const {
         const auto at = shifts.find(id);
@@ -634,6 +641,17 @@
             const double mine = (d.time + kShiftPrior * usual) / (d.tries + kShiftPrior);
             shifts[id] = std::clamp(std::pow(usual / mine, kShiftPower), kShiftLeast, kShiftMost);
         }
+        // A whole zone has tries enough to learn from: where only some zones may take a class, the others
+        // take more of what may go anywhere.
+        const bool cut =
+            std::any_of(links.begin(), links.end(), [](const auto& l) { return l.second.fit != Fit::ok; });
+        std::map<ZoneId, Tally> byZone;
+        for (const auto& [id, t] : paces) byZone[fleet.at(id).entry.zone].add(t);
+        for (const auto& [zone, t] : byZone) {
+            if (t.tries < kZoneTries || cut) continue;
+            double& lean = leans.try_emplace(zone, 1.0).first->second;
+            lean = std::clamp(lean * std::pow(usual / t.mean(), kLean), kLeanLeast, kLeanMost);
+        }
     }
 
     // A zone's own servers carry its requests while they have slack. The exception: where they are
