Trials end at once on success; links do not back off

Cause: after a zone cut the other zone's lines came back only after a backed-off wait and a full trial. May hurt: a link that flaps is tried every four seconds with a tenth of its weight.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -29,7 +29,7 @@
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // share of tries answered that opens, shuts cold servers
 constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
-constexpr double kCarriedFade = 0.998;          // a tick
+constexpr double kCarriedFade = 0.998;     // a tick
 constexpr double kColdTries = 5;           // on at least so many tries
 constexpr double kStatHalfLifeS = 2.5;     // health sums fade with this half-life
 constexpr double kEjectRatio = 0.5;        // share of failed tries at which a server is ejected
@@ -37,6 +37,7 @@
 constexpr double kEjectTries = 4;          // on at least so many recent tries
 constexpr double kTrialTries = 2;          // or so many of a trickle
 constexpr double kLinkHalfLifeS = 1;       // sums of a link fade faster: it has many tries
+constexpr double kRecovered = 0.2;         // fewer failures in a trial: it is over at once
 constexpr double kLinkRatio = 0.75;        // share of tries across zones failing that proves a cut
 constexpr double kHomeFails = 0.3;         // a zone's own servers fail less: the link is to blame
 constexpr double kEjectMost = 0.3;         // of the ready servers, at most this share is ejected
@@ -44,8 +45,8 @@
 constexpr Micros kEjectForMost = 16 * kSecond;
 constexpr double kTrialWeight = 0.1;  // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
-constexpr double kShiftPower = 0.7;   // how strongly a server's slowness moves its weight
-constexpr double kLean = 0.05;                    // how fast weight leans away from slow zones, a second
+constexpr double kShiftPower = 0.7;  // how strongly a server's slowness moves its weight
+constexpr double kLean = 0.05;       // how fast weight leans away from slow zones, a second
 constexpr double kZoneTries = 20, kLeanLeast = 0.4, kLeanMost = 1.6;
 constexpr double kShiftPrior = 8;     // tries at the fleet's mean, credited to each
 constexpr double kPaceHalfLifeS = 6;  // answer times fade with this half-life
@@ -233,7 +234,8 @@
             if (!s.ready() || !g.opens(s.entry.zone)) continue;
             const bool local = s.entry.zone == zone;
             if (!local && g.ownZoneOnly) continue;
-            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * leanOf(s.entry.zone) * (local ? 1.0 : spillOf(zone));
+            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * leanOf(s.entry.zone) *
+                                  (local ? 1.0 : spillOf(zone));
             if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
         }
         if (c.empty()) {  // never leave a table without a line while anything is ready
@@ -554,7 +556,7 @@
     }
     // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too.
     // True if it ejects now.
-    bool advance(Health& h, double proof, bool mayEject) {
+    bool advance(Health& h, double proof, bool mayEject, Micros backoffMost) {
         if (h.fit == Fit::ejected) {
             if (now < h.until) return false;
             h.fit = Fit::trial;
@@ -563,14 +565,15 @@
         }
         const double least = h.fit == Fit::trial ? kTrialTries : kEjectTries;
         if (mayEject && h.seen.tries >= least && h.seen.ratio() >= proof) {
-            if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, kEjectForMost);
+            if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, backoffMost);
             h.fit = Fit::ejected;
             h.until = now + h.backoff;
             h.seen = {};
             h.countFrom = h.until + set.reportEvery + kSecond;  // late sums of before say nothing new
             return true;
         }
-        if (h.fit == Fit::trial && now >= h.until) {
+        const bool recovered = h.seen.tries >= least && h.seen.ratio() < kRecovered;
+        if (h.fit == Fit::trial && (recovered || now >= h.until)) {
             h.fit = Fit::ok;
             h.backoff = kEjectFor;
         }
@@ -592,7 +595,7 @@
         // A zone that answers nothing to another zone whose own servers answer it is cut off, not broken.
         for (auto& [key, h] : links) {
             h.seen.fade(now, kLinkHalfLifeS);
-            advance(h, kLinkRatio, home[key.first].ratio() < kHomeFails);
+            advance(h, kLinkRatio, home[key.first].ratio() < kHomeFails, kEjectFor);
         }
         // Panic threshold: many failing at once, or answers slow on the whole, means load or network. Then
         // only servers that answer all but nothing are ejected, and nobody once half of them fail.
@@ -602,7 +605,8 @@
         for (const auto& [id, s] : fleet) ready += s.ready();
         for (auto& [key, h] : healths) {
             if (linkOf(key.first, fleet.at(key.second).entry.zone) < 1) h.seen = {};  // the link is to blame
-            ejected[key.first] += advance(h, proof, !panic && ejected[key.first] + 1 <= kEjectMost * ready);
+            ejected[key.first] +=
+                advance(h, proof, !panic && ejected[key.first] + 1 <= kEjectMost * ready, kEjectForMost);
         }
     }
 
