--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -62,6 +62,7 @@
 constexpr double kLeastSpanS = 0.1;  // guards a rate against a span of nothing
 constexpr double kLimitTries = 10;
 constexpr double kProvenFade = 0.98;  // a window
+constexpr double kLiftAt = 1.2;                 // of what comes: a limit above it is lifted
 constexpr double kLimitFloor = 0.8;   // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
@@ -743,7 +744,7 @@
             windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
             limit *= std::clamp(std::sqrt(kEaseTime / slow), kRaiseLeast, kRaiseMost);
-            if (limit > 1.2 * came) {
+            if (limit <= 0 || limit > kLiftAt * came) {
                 overloaded = false;
                 limit = 0;
             }
@@ -811,14 +812,26 @@
     // ======== 8. Joins and restart ========
     void onJoin(const ProxyJoined& j) {
         onLeft({j.proxy});
+        rescale(j.usualRate);
         proxies[j.proxy].zone = j.zone;
         proxies[j.proxy].rate = j.usualRate;
         joined.insert(j.proxy);
     }
+    // A limit belongs to the proxies that it was judged on: those that come from a dead planner bring their
+    // part of the load and of what the fleet has proven, those that leave take theirs along.
+    void rescale(double rate) {
+        double before = 0;
+        for (const auto& [id, p] : proxies) before += p.rate;
+        if (before <= 0) return;
+        const double factor = std::max(0.0, before + rate) / before;
+        limit *= factor;
+        proven *= factor;
+    }
     void onLeft(const ProxyLeft& l) {
         const auto at = proxies.find(l.proxy);
         if (at == proxies.end()) return;
         for (const TableId t : at->second.tables) release(l.proxy, t);
+        rescale(-at->second.rate);
         proxies.erase(at);
         joined.erase(l.proxy);
         demands.erase(demands.lower_bound({l.proxy, 0}), demands.upper_bound({l.proxy, set.classes.size()}));
