--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -58,6 +58,7 @@
 constexpr double kEaseTime = 0.5;    // below this the limit is raised again
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
+constexpr double kLimitFailedAims = 1;           // a failed try, where overload is judged
 constexpr Micros kWindowExtra = 500 * kMs;
 constexpr double kLeastSpanS = 0.1;  // guards a rate against a span of nothing
 constexpr double kLimitTries = 10;
@@ -716,7 +717,7 @@
     double proven = 0;  // good answers a second that the fleet has given us
 
     void noteWindow(const ServerSums& r) {
-        if (now >= windowFrom) window[{r.fromZone, r.server}].add(r, failedTime());
+        if (now >= windowFrom) window[{r.fromZone, r.server}].add(r, kLimitFailedAims * tightestAim());
     }
     void setLimit() {
         if (now < windowFrom + set.reportEvery + kWindowExtra) return;
