--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -65,11 +65,13 @@
 constexpr double kLiftAt = 1.2;       // of what comes: a limit above it is lifted
 constexpr double kLimitFloor = 0.8;   // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
+constexpr double kClassLeast = 0.02;  // and this much in any case
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
 constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
 constexpr double kBaseCreep = 1.001;                  // a tick; machines may get slower for good
+constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kCalmTries = 10;
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
@@ -77,15 +79,15 @@
 using Key = std::uint64_t;  // a server's id, or kLevelKey + class
 constexpr Key kLevelKey = Key{1} << 32U;
 
+// What a line says, packed: its value in steps of 1/4096 and its retry mode. 0 stands for "no such line".
 Hash hashOf(float value, unsigned mode) {
-    Hash h = 1469598103934665603ULL;
-    const auto mix = [&h](std::uint64_t x) {
-        h = (h ^ x) * 1099511628211ULL;
-        h ^= h >> 29U;
-    };
-    mix(static_cast<std::uint64_t>(std::llround(static_cast<double>(value) * 4096)));
-    mix(mode);
-    return h | 1U;  // 0 stands for "no such line"
+    return (static_cast<Hash>(std::llround(static_cast<double>(value) * 4096)) << 8U | mode) + 1;
+}
+
+template <class Map, class Id>
+double valueIn(const Map& map, const Id& id, double absent) {
+    const auto at = map.find(id);
+    return at == map.end() ? absent : at->second;
 }
 
 // Factors move in steps of a quarter octave, so that noise in what they come from sends no orders.
@@ -147,15 +149,11 @@
         }
         if (news.kind == ListNewsKind::delta) return;
         for (auto& [id, server] : fleet) {
-            if (!named.count(id))
-                server.entry.state = ServerState::gone;  // a whole list replaces the old one
+            if (!named.count(id)) server.entry.state = ServerState::gone;  // not in a whole list
         }
     }
-    bool asked = false;
     void askForList() {
-        if (!set.listOnRequest) return;
-        out.push_back(Subscribe{true});
-        asked = true;
+        if (set.listOnRequest) out.push_back(Subscribe{true});
     }
     [[nodiscard]] Micros age(const Server& s) const {
         return s.entry.bootTime == 0 ? set.warmUp : std::max<Micros>(0, now - s.entry.bootTime);
@@ -203,10 +201,8 @@
         }
         void settle() {  // an answer moves marked lines into the acknowledged hashes
             for (const auto& [key, hash] : pending) {
-                if (hash == 0)
-                    acked.erase(key);
-                else
-                    acked[key] = hash;
+                acked[key] = hash;
+                if (hash == 0) acked.erase(key);
             }
             pending.clear();
             unanswered.clear();
@@ -228,6 +224,15 @@
     double turnLines = 0;
     bool ordered = false;
 
+    // No table is left without a line while anything is ready, healthy or not: warm servers, else cold ones.
+    [[nodiscard]] Content lastResort(const Group& g, bool onlyWarm) const {
+        Content c;
+        for (const auto& [id, s] : fleet) {
+            const bool fits = s.ready() && g.opens(s.entry.zone) && (warm(s) || !onlyWarm);
+            if (fits) c[id] = {static_cast<float>(s.weight()), 0};
+        }
+        return c;
+    }
     [[nodiscard]] Content content(ZoneId zone, std::size_t group) const {
         Content c;
         const Group& g = groups[group];
@@ -239,11 +244,8 @@
                                   (local ? 1.0 : spillOf(zone));
             if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
         }
-        if (c.empty()) {  // never leave a table without a line while anything is ready
-            for (const auto& [id, s] : fleet) {
-                if (s.ready() && g.opens(s.entry.zone)) c[id] = {static_cast<float>(s.weight() * ramp(s)), 0};
-            }
-        }
+        if (c.empty()) c = lastResort(g, true);
+        if (c.empty()) c = lastResort(g, false);
         addLevels(c, g);
         return c;
     }
@@ -301,6 +303,9 @@
         push(lastTable, t);
         return lastTable;
     }
+    [[nodiscard]] double tableLines() const {  // at most: the bind, all servers, all levels
+        return 1 + static_cast<double>(fleet.size() + set.classes.size());
+    }
     void release(ProxyId id, TableId table) {
         const auto at = tables.find(table);
         if (at == tables.end()) return;
@@ -370,7 +375,7 @@
         for (const auto& [id, silent] : late) {
             Table& t = tables.at(id);
             t.settle();
-            if (t.copy || silent.size() == t.bound.size() || !mayWrite(silent, 40, false)) continue;
+            if (t.copy || silent.size() == t.bound.size() || !mayWrite(silent, tableLines(), false)) continue;
             bindFresh(silent, t.zone, t.group);
         }
     }
@@ -457,10 +462,9 @@
     void withdraw() {
         if (!slotOpen) return;
         for (auto& [id, s] : fleet) {
-            const bool out_ = !s.ready();
-            if (out_ == s.withdrawn) continue;
-            s.withdrawn = out_;
-            out.push_back(Withdraw{id, out_});
+            if (s.ready() == !s.withdrawn) continue;
+            s.withdrawn = !s.ready();
+            out.push_back(Withdraw{id, s.withdrawn});
             for (const auto& [p, proxy] : proxies) write(p, 1);
         }
     }
@@ -483,9 +487,7 @@
     double calmWeight = 0;  // the most weight that warm, healthy servers have had
     void noteAnswered() {
         Tally all;
-        for (const auto& [key, h] : healths) {
-            all.add(h.seen);
-        }
+        for (const auto& [key, h] : healths) all.add(h.seen);
         double weight = 0;
         for (const auto& [id, s] : fleet) {
             if (s.ready() && warm(s)) weight += s.weight() * shiftOf(id) * health(s.entry.zone, id);
@@ -617,16 +619,11 @@
     std::map<ServerId, Tally> paces;
     std::map<ServerId, double> shifts;
     std::map<ZoneId, double> leans;
-    [[nodiscard]] double leanOf(ZoneId zone) const {
-        const auto at = leans.find(zone);
-        return at == leans.end() ? 1 : at->second;
-    }
+    [[nodiscard]] double leanOf(ZoneId zone) const { return valueIn(leans, zone, 1); }
     Micros nextShift = 0;
     [[nodiscard]] double shiftOf(ServerId id) const {
-        const auto at = shifts.find(id);
-        if (at == shifts.end()) return 1;
-        return warm(fleet.at(id)) ? at->second
-                                  : std::min(1.0, at->second);  // a cold one looks fast while idle
+        const double most = warm(fleet.at(id)) ? kShiftMost : 1;  // a cold one looks fast while idle
+        return std::min(most, valueIn(shifts, id, 1));
     }
     void notePace(const ServerSums& r) {
         Tally& d = paces[r.server];
@@ -692,7 +689,7 @@
             if (hot) s.share = 1;
             if (!calm || s.calmSince == 0) s.calmSince = now;
             if (now - s.calmSince < kCoolHold) continue;
-            s.share = s.share > 0.2 ? s.share / 2 : 0;
+            s.share = s.share > kSpillLeast ? s.share / 2 : 0;
             s.calmSince = now;
         }
     }
@@ -710,6 +707,11 @@
         const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
         mine += (mine > 0 ? kDemandGain : 1) * (rate - mine);
     }
+    [[nodiscard]] double cameRate() const {
+        double came = 0;
+        for (const auto& [key, rate] : demands) came += rate;
+        return came;
+    }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
     // lest the same jam be answered over and over.
     std::map<std::pair<ZoneId, ServerId>, Tally> window;
@@ -736,8 +738,7 @@
         if (all.tries < kLimitTries) return;
         const double slow = all.mean() / tightestAim();
         proven = std::max(proven * kProvenFade, good);
-        double came = 0;
-        for (const auto& [key, d] : demands) came += d;
+        const double came = cameRate();
         if (slow > kOverTime && hot * 2 > seen) {
             overloaded = true;
             const double cut = std::clamp(kOverTime / slow, kCutLeast, kCutMost);
@@ -760,8 +761,7 @@
             load[key.second] += d * static_cast<double>(set.classes[key.second].aim);
         }
         for (const double l : load) total += l;
-        double came = 0;
-        for (const auto& [key, d] : demands) came += d;
+        const double came = cameRate();
         if (limit <= 0 || came <= 0) return keep;
         double excess = total * std::max(0.0, 1 - limit / came);
         std::vector<std::size_t> order(n);
@@ -770,7 +770,7 @@
             return set.classes[a].worth / static_cast<double>(set.classes[a].aim) <
                    set.classes[b].worth / static_cast<double>(set.classes[b].aim);
         });
-        for (const double floor : {kClassFloor, 0.02}) {
+        for (const double floor : {kClassFloor, kClassLeast}) {
             for (const std::size_t c : order) {
                 const double give = std::min(excess, load[c] * (keep[c] - floor));
                 if (load[c] <= 0 || give <= 0) continue;
@@ -814,8 +814,7 @@
     void onJoin(const ProxyJoined& j) {
         onLeft({j.proxy});
         rescale(j.usualRate);
-        proxies[j.proxy].zone = j.zone;
-        proxies[j.proxy].rate = j.usualRate;
+        proxies[j.proxy] = {j.zone, j.usualRate, {}, {}};
         joined.insert(j.proxy);
     }
     // A limit belongs to the proxies that it was judged on: those that come from a dead planner bring their
@@ -839,7 +838,8 @@
     }
     std::set<ProxyId> joined;
     void bindJoined() {
-        if (fleet.empty()) return;
+        const auto ready = [](const auto& s) { return s.second.ready(); };
+        if (std::none_of(fleet.begin(), fleet.end(), ready)) return;  // what they hold is better than nothing
         std::map<std::pair<ZoneId, std::size_t>, std::set<ProxyId>> fresh;
         for (const ProxyId id : joined) {
             for (std::size_t g = 0; g < groups.size(); ++g) {
@@ -853,12 +853,13 @@
         for (auto& [id, p] : proxies) {
             for (std::size_t g = 0; g < p.tables.size(); ++g) {
                 const ZoneId home = homeZone(id, p.zone, groups[g]);
-                if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, 40, true)) continue;
+                if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, tableLines(), true)) continue;
                 const auto main = mains.find({home, g});
-                if (main == mains.end())
+                if (main == mains.end()) {
                     bindFresh({id}, home, g);
-                else
+                } else {
                     bind(id, main->second);
+                }
             }
         }
     }
@@ -962,10 +963,7 @@
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
         }
-        if (set.shards > 0)
-            runSlices();
-        else
-            runTables();
+        set.shards > 0 ? runSlices() : runTables();
         closeTurn();
     }
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -248,6 +248,13 @@
     EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
 }
 
+TEST(SlowStart, WhereOnlyColdServersAreReadyTheyKeepTheirLines) {
+    Rig rig(calmSettings());
+    rig.list({server(1, 0, ready, rig.now - kSecond), server(2, 1, gone)});
+    rig.join(0, 0);
+    EXPECT_GT(rig.weight(0, 1), 0);
+}
+
 // Found by incident i9298a4: a cold server's share grew as the warm ones lost weight.
 TEST(SlowStart, AColdServerShrinksWithTheWarmWeight) {
     Rig rig = settledRig();
@@ -528,6 +535,15 @@
     EXPECT_GT(rig.weight(0, 1), 0);
 }
 
+TEST(Restart, WithNothingReadyAProxyKeepsWhatItHolds) {
+    Rig rig(calmSettings());
+    rig.list({server(1, 0, draining)});
+    rig.join(0, 0);
+    EXPECT_TRUE(rig.bound.empty());
+    rig.list({server(1, 0)}, ListNewsKind::delta);
+    EXPECT_GT(rig.weight(0, 1), 0);
+}
+
 TEST(Restart, AProxyThatLeavesAndReturnsHasAcknowledgedNothing) {
     Rig rig = settledRig();
     rig.leave(0);
