--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,26 +28,24 @@
 constexpr double kRampFrom = 0.25;            // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // share of tries answered that opens, shuts cold servers
-constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
-constexpr double kCarriedFade = 0.998;     // a tick
-constexpr double kColdTries = 5;           // on at least so many tries
-constexpr double kStatHalfLifeS = 2.5;     // health sums fade with this half-life
-constexpr double kEjectRatio = 0.5;        // share of failed tries at which a server is ejected
-constexpr double kDeadRatio = 0.9;         // what it takes when many fail or all are slow
-constexpr double kEjectTries = 4;          // on at least so many recent tries
-constexpr double kTrialTries = 2;          // or so many of a trickle
-constexpr double kLinkHalfLifeS = 1;       // sums of a link fade faster: it has many tries
-constexpr double kRecovered = 0.2;         // fewer failures in a trial: it is over at once
-constexpr double kLinkRatio = 0.75;        // share of tries across zones failing that proves a cut
-constexpr double kHomeFails = 0.3;         // a zone's own servers fail less: the link is to blame
-constexpr double kEjectMost = 0.3;         // of the ready servers, at most this share is ejected
-constexpr Micros kEjectFor = 4 * kSecond;  // first ejection; doubles with each failed trial
-constexpr Micros kEjectForMost = 16 * kSecond;
+constexpr double kTipPerLoad = 2.5;     // load that a ramp may meet, as a part of the tip multiple
+constexpr double kFewTries = 10;        // fewer say nothing about a fleet or a zone
+constexpr double kStatHalfLifeS = 2.5;  // health sums fade with this half-life
+constexpr double kEjectRatio = 0.5;     // share of failed tries at which a server is ejected
+constexpr double kDeadRatio = 0.9;      // what it takes when many fail or all are slow
+constexpr double kEjectTries = 4;       // on at least so many recent tries
+constexpr double kTrialTries = 2;       // or so many of a trickle
+constexpr double kLinkHalfLifeS = 1;    // sums of a link fade faster: it has many tries
+constexpr double kRecovered = 0.2;      // fewer failures in a trial: it is over at once
+constexpr double kLinkRatio = 0.75;     // share of tries across zones failing that proves a cut
+constexpr double kHomeFails = 0.3;      // a zone's own servers fail less: the link is to blame
+constexpr double kEjectMost = 0.3;      // of the ready servers, at most this share is ejected
+constexpr Micros kEjectFor = 4 * kSecond, kEjectForMost = 16 * kSecond;  // doubles with each failed trial
 constexpr double kTrialWeight = 0.1;  // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
 constexpr double kShiftPower = 0.7;  // how strongly a server's slowness moves its weight
 constexpr double kLean = 0.05;       // how fast weight leans away from slow zones, a second
-constexpr double kZoneTries = 20, kLeanLeast = 0.4, kLeanMost = 1.6;
+constexpr double kLeanLeast = 0.4, kLeanMost = 1.6;
 constexpr double kShiftPrior = 8;     // tries at the fleet's mean, credited to each
 constexpr double kPaceHalfLifeS = 6;  // answer times fade with this half-life
 constexpr Micros kShiftEvery = kSecond;
@@ -59,8 +57,7 @@
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
-constexpr double kLeastSpanS = 0.1;  // guards a rate against a span of nothing
-constexpr double kLimitTries = 10;
+constexpr double kLeastSpanS = 0.1;   // guards a rate against a span of nothing
 constexpr double kProvenFade = 0.98;  // a window
 constexpr double kLiftAt = 1.2;       // of what comes: a limit above it is lifted
 constexpr double kLimitFloor = 0.8;   // of the proven rate: no limit goes below this
@@ -70,9 +67,7 @@
 constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
 constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
-constexpr double kBaseCreep = 1.001;                  // a tick; machines may get slower for good
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
-constexpr double kCalmTries = 10;
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
 using Hash = std::uint64_t;
@@ -138,7 +133,7 @@
     };
     std::map<ServerId, Server> fleet;
 
-    void onList(const ListNews& news) {
+    void on(const ListNews& news) {
         if (news.kind == ListNewsKind::failed) return askForList();
         std::set<ServerId> named;
         for (const ListEntry& entry : news.entries) {
@@ -348,7 +343,7 @@
         return *std::next(open.begin(), static_cast<std::ptrdiff_t>(id % open.size()));
     }
 
-    void onAnswer(const Acknowledged& a) {
+    void on(const Acknowledged& a) {
         const auto at = proxies.find(a.proxy);
         if (at == proxies.end()) return;
         auto& marks = at->second.marks;
@@ -493,10 +488,10 @@
             if (s.ready() && warm(s)) weight += s.weight() * shiftOf(id) * health(s.entry.zone, id);
         }
         calmWeight = std::max(calmWeight, weight);
-        if (all.tries >= kColdTries && calmWeight > 0) {
+        if (all.tries >= kFewTries && calmWeight > 0) {
             // A fleet that tips only at a high multiple leaves room before the shrinking has to begin.
             const double room = std::max(1.0, set.tipMultiple / kTipPerLoad);
-            carried = std::max(carried * kCarriedFade, all.tries - all.failed);
+            carried = std::max(carried, all.tries - all.failed);
             answered = std::min(1.0, room * carried / all.tries * weight / calmWeight);
         }
         if (answered < kColdShut) coldOpen = false;
@@ -530,7 +525,7 @@
         if (s == fleet.end() || !s->second.ready()) return false;  // withdrawn already
         return health(zone, s->first) == 0 || age(s->second) < kRampStep || ramp(s->second) == 0;
     }
-    void onSums(const ServerSums& r) {
+    void on(const ServerSums& r) {
         if (!fleet.count(r.server)) return;
         const ZoneId to = fleet.at(r.server).entry.zone;
         if (linkOf(r.fromZone, to) == 1) {  // what a broken link does is no sign of the servers behind it
@@ -651,7 +646,7 @@
         std::map<ZoneId, Tally> byZone;
         for (const auto& [id, t] : paces) byZone[fleet.at(id).entry.zone].add(t);
         for (const auto& [zone, t] : byZone) {
-            if (t.tries < kZoneTries || cut) continue;
+            if (t.tries < 2 * kFewTries || cut) continue;
             double& lean = leans.try_emplace(zone, 1.0).first->second;
             lean = std::clamp(lean * std::pow(usual / t.mean(), kLean), kLeanLeast, kLeanMost);
         }
@@ -679,12 +674,12 @@
         for (ZoneId z = 0; z < set.zones; ++z) {
             Spill& s = spills[z];
             const double time = own[z].mean();
-            if (own[z].tries >= kCalmTries && time > 0) {
-                s.base = s.base > 0 ? std::min(s.base * kBaseCreep, time) : time;
+            if (own[z].tries >= kFewTries && time > 0) {
+                s.base = s.base > 0 ? std::min(s.base, time) : time;
             }
             const bool queueing = time > kQueueing * s.base;
             const bool hot = troubled || queueing || time > kHotTime * tightestAim();
-            const bool calm = !hot && own[z].tries >= kCalmTries && time < kCoolTime * tightestAim() &&
+            const bool calm = !hot && own[z].tries >= kFewTries && time < kCoolTime * tightestAim() &&
                               time < kCalmOfBase * s.base;
             if (hot) s.share = 1;
             if (!calm || s.calmSince == 0) s.calmSince = now;
@@ -701,7 +696,7 @@
     double limit = 0;  // admitted tries a second over all our proxies; 0: no limit
     bool overloaded = false;
 
-    void onDemand(const ProxyDemand& d) {
+    void on(const ProxyDemand& d) {
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
         double& mine = demands[{d.proxy, d.klass}];
         const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
@@ -735,7 +730,7 @@
         }
         window.clear();
         windowFrom = now;
-        if (all.tries < kLimitTries) return;
+        if (all.tries < kFewTries) return;
         const double slow = all.mean() / tightestAim();
         proven = std::max(proven * kProvenFade, good);
         const double came = cameRate();
@@ -811,8 +806,8 @@
     }
 
     // ======== 8. Joins and restart ========
-    void onJoin(const ProxyJoined& j) {
-        onLeft({j.proxy});
+    void on(const ProxyJoined& j) {
+        on(ProxyLeft{j.proxy});
         rescale(j.usualRate);
         proxies[j.proxy] = {j.zone, j.usualRate, {}, {}};
         joined.insert(j.proxy);
@@ -827,7 +822,7 @@
         limit *= factor;
         proven *= factor;
     }
-    void onLeft(const ProxyLeft& l) {
+    void on(const ProxyLeft& l) {
         const auto at = proxies.find(l.proxy);
         if (at == proxies.end()) return;
         for (const TableId t : at->second.tables) release(l.proxy, t);
@@ -874,11 +869,11 @@
     };
     std::map<TableId, Slice> slices;  // those in our charge
 
-    void onGiven(const SliceGiven& g) {
+    void on(const SliceGiven& g) {
         slices.erase(g.slice);
         if (g.given) slices[g.slice].freeAt = ownerWait();
     }
-    void onLine(const SliceLine& l) {
+    void on(const SliceLine& l) {
         const auto at = slices.find(l.slice);
         if (at != slices.end() && l.weight > 0) at->second.lines.insert(l.server);
     }
@@ -928,7 +923,6 @@
 
     // ======== The turn ========
     Micros nextTick = 0;
-    bool started = false;
 
     void runTables() {
         rebind();
@@ -936,20 +930,10 @@
         releaseSilent();
         foldCopies();
     }
-    void handle(const Event& event) {
-        if (const auto* e = std::get_if<ListNews>(&event)) onList(*e);
-        if (const auto* e = std::get_if<ProxyJoined>(&event)) onJoin(*e);
-        if (const auto* e = std::get_if<ProxyLeft>(&event)) onLeft(*e);
-        if (const auto* e = std::get_if<ServerSums>(&event)) onSums(*e);
-        if (const auto* e = std::get_if<ProxyDemand>(&event)) onDemand(*e);
-        if (const auto* e = std::get_if<Acknowledged>(&event)) onAnswer(*e);
-        if (const auto* e = std::get_if<SliceGiven>(&event)) onGiven(*e);
-        if (const auto* e = std::get_if<SliceLine>(&event)) onLine(*e);
-    }
+    void on(const auto& /*event*/) {}  // our timers only wake us; no decision needs the other events yet
     void turn(const std::vector<Event>& events) {
-        if (!started) askForList();
-        started = true;
-        for (const Event& event : events) handle(event);
+        if (turnNumber == 0) askForList();
+        for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
         drainChannel();
         openSlot();
         withdraw();
