--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -740,7 +740,7 @@
             limit = std::max(cut * (limit > 0 ? std::min(limit, admitted) : admitted), kLimitFloor * proven);
             windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
-            limit *= std::clamp(std::sqrt(kEaseTime / slow), kRaiseLeast, kRaiseMost);
+            limit *= std::clamp(kEaseTime / slow, kRaiseLeast, kRaiseMost);
             if (limit <= 0 || limit > kLiftAt * came) {
                 overloaded = false;
                 limit = 0;
