--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -52,7 +52,7 @@
 constexpr double kShiftLeast = 0.25, kShiftMost = 2;
 constexpr double kFailedAims = 2;    // a failed try counts as an answer after this many aims
 constexpr double kHotServer = 0.6;   // answer time, in tightest aims, from which a server is hot
-constexpr double kOverTime = 0.7;    // the fleet's answer time that proves overload
+constexpr double kOverTime = 0.6;    // the fleet's answer time that proves overload
 constexpr double kEaseTime = 0.5;    // below this the limit is raised again
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
@@ -740,7 +740,7 @@
             limit = std::max(cut * (limit > 0 ? std::min(limit, admitted) : admitted), kLimitFloor * proven);
             windowFrom = now + set.reportEvery + kSecond;
         } else if (overloaded && slow < kEaseTime) {
-            limit *= std::clamp(kEaseTime / slow, kRaiseLeast, kRaiseMost);
+            limit *= std::clamp(std::sqrt(kEaseTime / slow), kRaiseLeast, kRaiseMost);
             if (limit <= 0 || limit > kLiftAt * came) {
                 overloaded = false;
                 limit = 0;
