--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,8 @@
 constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
 constexpr double kRampFrom = 0.25;            // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
-constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // share of tries answered that opens, shuts cold servers
+constexpr double kColdOpen = 0.65,
+                 kColdShut = 0.5;       // part of the calm picture that opens, shuts cold servers
 constexpr double kTipPerLoad = 2.5;     // load that a ramp may meet, as a part of the tip multiple
 constexpr double kFewTries = 10;        // fewer say nothing about a fleet or a zone
 constexpr double kStatHalfLifeS = 2.5;  // health sums fade with this half-life
@@ -333,12 +334,16 @@
         }
         for (const ProxyId id : ids) bind(id, fresh);
     }
-    // Where a group's requests go: the proxy's own zone if it has an open warm server, else another zone.
-    [[nodiscard]] ZoneId homeZone(ProxyId id, ZoneId zone, const Group& g) const {
+    [[nodiscard]] std::set<ZoneId> warmZones(const Group& g) const {
         std::set<ZoneId> open;
-        for (const auto& [sid, s] : fleet) {
+        for (const auto& [id, s] : fleet) {
             if (s.ready() && warm(s) && g.opens(s.entry.zone)) open.insert(s.entry.zone);
         }
+        return open;
+    }
+    // Where a group's requests go: the proxy's own zone if it has an open warm server, else another zone.
+    [[nodiscard]] static ZoneId homeZone(ProxyId id, ZoneId zone, const Group& g,
+                                         const std::set<ZoneId>& open) {
         if (open.empty() || open.count(zone) || g.ownZoneOnly) return zone;
         return *std::next(open.begin(), static_cast<std::ptrdiff_t>(id % open.size()));
     }
@@ -474,8 +479,9 @@
     }
     // In a jam a weight says little: failed tries come again, and proxies that avoid the servers that failed
     // them bring everything to the cold ones (incident i6bbaa1: half a fleet came back at once and was pushed
-    // over). So cold servers take only the answered part of their ramp, less what the warm ones have lost in
-    // weight, and nothing while most tries fail or a planner that has just started cannot tell yet.
+    // over). So a cold server's ramp shrinks with the tries beyond what the fleet has carried and with the
+    // weight that the warm ones have lost, and it takes nothing far below the calm picture, nor before a
+    // planner that has just started can tell.
     double answered = 0;
     bool coldOpen = false;
     double carried = 0;     // the most answered tries that the fading sums have held
@@ -836,18 +842,21 @@
         const auto ready = [](const auto& s) { return s.second.ready(); };
         if (std::none_of(fleet.begin(), fleet.end(), ready)) return;  // what they hold is better than nothing
         std::map<std::pair<ZoneId, std::size_t>, std::set<ProxyId>> fresh;
-        for (const ProxyId id : joined) {
-            for (std::size_t g = 0; g < groups.size(); ++g) {
-                fresh[{homeZone(id, proxies.at(id).zone, groups[g]), g}].insert(id);
+        for (std::size_t g = 0; g < groups.size(); ++g) {
+            const std::set<ZoneId> open = warmZones(groups[g]);
+            for (const ProxyId id : joined) {
+                fresh[{homeZone(id, proxies.at(id).zone, groups[g], open), g}].insert(id);
             }
         }
         for (const auto& [at, ids] : fresh) bindFresh(ids, at.first, at.second);
         joined.clear();
     }
     void rebind() {
+        std::vector<std::set<ZoneId>> open;
+        for (const Group& g : groups) open.push_back(warmZones(g));
         for (auto& [id, p] : proxies) {
             for (std::size_t g = 0; g < p.tables.size(); ++g) {
-                const ZoneId home = homeZone(id, p.zone, groups[g]);
+                const ZoneId home = homeZone(id, p.zone, groups[g], open[g]);
                 if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, tableLines(), true)) continue;
                 const auto main = mains.find({home, g});
                 if (main == mains.end()) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -478,16 +478,22 @@
 
 // ---- Sites with slices ----
 
+// Two ready servers, one proxy, and slice 3 in our charge at server 1.
+Rig sliceRig(Settings s) {
+    s.shards = 4;
+    Rig rig(std::move(s));
+    rig.list({server(1, 0), server(2, 0)});
+    rig.join(0, 0);
+    rig.turn({SliceGiven{3, true}, SliceLine{3, 1, 1}});
+    return rig;
+}
+
 TEST(Slices, AnOwnerIsReplacedOnlyAfterLeaseAndSettle) {
     Settings s = calmSettings();
-    s.shards = 4;
     s.oneOwner = true;
     s.writeLease = 2 * kSecond;
     s.settle = kSecond;
-    Rig rig(s);
-    rig.list({server(1, 0), server(2, 0)});
-    rig.join(0, 0);
-    rig.turn({SliceGiven{3, true}, SliceLine{3, 1, 1}});
+    Rig rig = sliceRig(s);
     rig.run(4 * kSecond);
     rig.list({server(1, 0, gone)}, ListNewsKind::delta);
     rig.run(kSecond);
@@ -500,12 +506,7 @@
 }
 
 TEST(Slices, WhatIsTakenAwayIsOrderedNoMore) {
-    Settings s = calmSettings();
-    s.shards = 4;
-    Rig rig(s);
-    rig.list({server(1, 0), server(2, 0)});
-    rig.join(0, 0);
-    rig.turn({SliceGiven{3, true}, SliceLine{3, 1, 1}});
+    Rig rig = sliceRig(calmSettings());
     rig.turn({SliceGiven{3, false}});
     rig.list({server(1, 0, gone)}, ListNewsKind::delta);
     rig.run(2 * kSecond);
@@ -513,12 +514,7 @@
 }
 
 TEST(Slices, WithoutOneOwnerASliceMovesAtOnce) {
-    Settings s = calmSettings();
-    s.shards = 4;
-    Rig rig(s);
-    rig.list({server(1, 0), server(2, 0)});
-    rig.join(0, 0);
-    rig.turn({SliceGiven{3, true}, SliceLine{3, 1, 1}});
+    Rig rig = sliceRig(calmSettings());
     rig.run(kSecond);
     rig.list({server(1, 0, draining)}, ListNewsKind::delta);
     rig.run(600 * kMs);
