--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace marldale {
 namespace {
@@ -24,7 +25,15 @@
 constexpr double kBacklogShare = 0.5;         // of the allowed backlog we fill this much
 constexpr double kSlowChannel = 8;            // the channel may run this many times slower than told
 constexpr double kUrgentCap = 1.6;            // what the rules demand may fill this much more
+constexpr double kSteadyShare = 0.25;         // of the channel's pace that changes of weights may use
+constexpr double kColumnCost = 0.5;           // seconds of channel for all tables before a fleet is dealt
+constexpr double kDearCost = 0.1;             // the same, from which a copy costs more than it saves
+constexpr double kLeastPower = 1e-3;
+constexpr double kColumnLeast = 8;  // servers of a zone that a column keeps at least
+constexpr Micros kDealEvery = 200 * kMs;
+constexpr double kUneven = 1.15;              // load against capacity of a column that calls for a server
 constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
+constexpr double kSameValue = 1.25;           // a line within this factor of what is held stays as it is
 constexpr double kRampFrom = 0.25;            // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65,
@@ -74,11 +83,16 @@
 using Hash = std::uint64_t;
 using Key = std::uint64_t;  // a server's id, or kLevelKey + class
 constexpr Key kLevelKey = Key{1} << 32U;
+constexpr double kLevelWorth = 1e6, kUrgentWorth = 1e9;
+
+constexpr std::size_t kNoColumn = ~std::size_t{0};
 
 // What a line says, packed: its value in steps of 1/4096 and its retry mode. 0 stands for "no such line".
 Hash hashOf(float value, unsigned mode) {
     return (static_cast<Hash>(std::llround(static_cast<double>(value) * 4096)) << 8U | mode) + 1;
 }
+double valueOf(Hash hash) { return hash == 0 ? 0 : static_cast<double>((hash - 1) >> 8U) / 4096; }
+bool sameMode(Hash hash, unsigned mode) { return hash != 0 && ((hash - 1) & 0xffU) == mode; }
 
 template <class Map, class Id>
 double valueIn(const Map& map, const Id& id, double absent) {
@@ -129,6 +143,8 @@
     struct Server {
         ListEntry entry;
         bool withdrawn = false;
+        std::size_t column = kNoColumn;
+        double base = 0;  // its part of a line's value that is the same in every table
         [[nodiscard]] double weight() const { return entry.weight > 0 ? entry.weight : 1; }
         [[nodiscard]] bool ready() const { return entry.state == ServerState::ready; }
     };
@@ -184,7 +200,7 @@
     using Content = std::map<Key, Entry>;
     struct Table {
         ZoneId zone = 0;
-        std::size_t group = 0;
+        std::size_t group = 0, column = 0;
         bool copy = false;
         std::map<Key, Hash> acked, pending;  // hashes of answered lines, and of those under an open mark
         std::uint64_t markTurn = 0;
@@ -205,13 +221,16 @@
         }
     };
     std::map<TableId, Table> tables;
-    std::map<std::pair<ZoneId, std::size_t>, TableId> mains;
+    using Place = std::tuple<ZoneId, std::size_t, std::size_t>;  // a table's zone, group and column
+    std::map<Place, TableId> mains;
     TableId lastTable = 0;
     std::uint64_t turnNumber = 0;
 
     struct Proxy {
         ZoneId zone = 0;
         double rate = 0;
+        std::size_t column = 0;
+        bool late = false;                // it owes an answer for too long: nothing waits for it
         std::vector<TableId> tables;      // by group
         std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
     };
@@ -229,15 +248,15 @@
         }
         return c;
     }
-    [[nodiscard]] Content content(ZoneId zone, std::size_t group) const {
+    [[nodiscard]] Content content(const Table& t) const {
         Content c;
-        const Group& g = groups[group];
-        for (const auto& [id, s] : fleet) {
-            if (!s.ready() || !g.opens(s.entry.zone)) continue;
-            const bool local = s.entry.zone == zone;
+        const Group& g = groups[t.group];
+        for (const ServerId id : members[t.column]) {
+            const Server& s = fleet.at(id);
+            if (s.base <= 0 || !g.opens(s.entry.zone)) continue;
+            const bool local = s.entry.zone == t.zone;
             if (!local && g.ownZoneOnly) continue;
-            const double factor = ramp(s) * health(zone, id) * shiftOf(id) * leanOf(s.entry.zone) *
-                                  (local ? 1.0 : spillOf(zone));
+            const double factor = s.base * health(t.zone, id) * (local ? 1.0 : spillOf(t.zone));
             if (factor > 0) c[id] = {static_cast<float>(s.weight() * stepped(factor)), 0};
         }
         if (c.empty()) c = lastResort(g, true);
@@ -257,51 +276,88 @@
     void mark(Table& t, const std::set<ProxyId>& by) {
         t.markTurn = turnNumber;
         t.markedAt = now;
-        t.unanswered.insert(by.begin(), by.end());
+        for (const ProxyId p : by) {
+            if (!proxies.at(p).late) t.unanswered.insert(p);
+        }
     }
 
-    // Sends what differs, or holds it until the open mark is answered or has run out.
-    void push(TableId id, Table& t) {
-        const Content want = content(t.zone, t.group);
-        Content diff;
-        bool urgent = false;
+    struct Change {
+        double worth = 0;  // what goes first where not all fits
+        Key key = 0;
+        Entry entry;
+    };
+    // What differs from what the proxies hold, most valuable first: cuts that the rules or failing servers ask
+    // for, levels, weights by how much they shift. Lines of withdrawn servers carry nothing and go last.
+    [[nodiscard]] std::vector<Change> changes(const Table& t, const Content& want) const {
+        std::vector<Change> diff;
+        const bool costly = dear();
+        const auto add = [&](Key key, const Entry& entry, double worth) {
+            diff.push_back({urgentCut(key, t.zone) ? kUrgentWorth : worth, key, entry});
+        };
         for (const auto& [key, entry] : want) {
-            if (t.held(key) != hashOf(entry.value, entry.mode)) diff[key] = entry;
+            const Hash has = t.held(key);
+            if (has == hashOf(entry.value, entry.mode)) continue;
+            const double old = valueOf(has);
+            const double ratio = old > 0 ? entry.value / old : 0;
+            if (costly && sameMode(has, entry.mode) && ratio < kSameValue && ratio * kSameValue > 1) continue;
+            add(key, entry, key >= kLevelKey ? kLevelWorth : std::abs(entry.value - old));
         }
-        const auto drop = [&](const std::map<Key, Hash>& lines) {
-            for (const auto& [key, hash] : lines) {
-                if (key < kLevelKey && hash != 0 && !want.count(key) && t.held(key) != 0) diff[key] = {0, 0};
+        for (const auto* lines : {&t.acked, &t.pending}) {
+            for (const auto& [key, hash] : *lines) {
+                if (key >= kLevelKey || hash == 0 || want.count(key) || t.held(key) == 0) continue;
+                if (lines == &t.pending && t.acked.count(key)) continue;  // named above
+                const auto s = fleet.find(static_cast<ServerId>(key));
+                add(key, {0, 0}, s != fleet.end() && s->second.ready() ? valueOf(hash) : 0);
             }
-        };
-        drop(t.acked);
-        drop(t.pending);
-        for (const auto& [key, entry] : diff) urgent = urgent || urgentCut(key, t.zone);
-        if (diff.empty() || (!t.unanswered.empty() && !urgent)) return;
-        if (!t.bound.empty() && !mayWrite(t.bound, static_cast<double>(diff.size()), urgent)) return;
-        for (const auto& [key, entry] : diff) {
-            order(id, key, entry);
-            t.pending[key] = entry.value > 0 || key >= kLevelKey ? hashOf(entry.value, entry.mode) : 0;
+        }
+        std::stable_sort(diff.begin(), diff.end(),
+                         [](const Change& a, const Change& b) { return a.worth > b.worth; });
+        return diff;
+    }
+    // Sends what differs, or holds it until the open mark is answered or has run out. What does not fit the
+    // channel waits and merges into the next difference.
+    void push(TableId id, Table& t) {
+        std::vector<Change> diff = changes(t, content(t));
+        if (diff.empty()) return;
+        const bool urgent = diff.front().worth >= kUrgentWorth;
+        if (!t.unanswered.empty() && !urgent) return;
+        if (!t.bound.empty()) {
+            if (!slotOpen || (budget <= 0 && diff.front().worth < kLevelWorth)) return;
+            const double fits = room(urgent) / static_cast<double>(t.bound.size()) - set.envelopeLines - 1;
+            if (fits < 1) return;
+            if (fits < static_cast<double>(diff.size())) diff.resize(static_cast<std::size_t>(fits));
+        }
+        for (const Change& d : diff) {
+            order(id, d.key, d.entry);
+            t.pending[d.key] =
+                d.entry.value > 0 || d.key >= kLevelKey ? hashOf(d.entry.value, d.entry.mode) : 0;
         }
         mark(t, t.bound);
         for (const ProxyId p : t.bound) write(p, static_cast<double>(diff.size()));
         if (t.bound.empty()) t.settle();
     }
 
-    TableId layTable(ZoneId zone, std::size_t group, bool copy) {
+    TableId layTable(const Place& place, bool copy) {
         do {
             lastTable = static_cast<TableId>(lastTable % (kAllTables - 1) + 1);
         } while (tables.count(lastTable));
         Table& t = tables[lastTable];
-        t.zone = zone;
-        t.group = group;
+        std::tie(t.zone, t.group, t.column) = place;
         t.copy = copy;
         t.madeAt = now;
         push(lastTable, t);
         return lastTable;
     }
-    [[nodiscard]] double tableLines() const {  // at most: the bind, all servers, all levels
-        return 1 + static_cast<double>(fleet.size() + set.classes.size());
+    // At most: the bind, the lines and the levels of one table.
+    [[nodiscard]] double tableLines() const {
+        const std::size_t servers = members.empty() ? fleet.size() : members.front().size();
+        return 1 + static_cast<double>(servers + set.classes.size());
+    }
+    // Seconds of channel that it takes to send every proxy its tables anew.
+    [[nodiscard]] double tableCost(double lines) const {
+        return static_cast<double>(proxies.size() * groups.size()) * (lines + set.envelopeLines) / set.pushRate;
     }
+    [[nodiscard]] bool dear() const { return tableCost(tableLines()) > kDearCost; }
     void release(ProxyId id, TableId table) {
         const auto at = tables.find(table);
         if (at == tables.end()) return;
@@ -320,17 +376,22 @@
         mark(t, {id});
         write(id, 1 + static_cast<double>(t.acked.size() + t.pending.size()));
     }
-    // A fresh marked copy of a zone's table for these proxies; it is the main table where there is none.
-    void bindFresh(const std::set<ProxyId>& ids, ZoneId zone, std::size_t group) {
-        const auto at = mains.find({zone, group});
+    // A fresh marked copy of a zone's table for these proxies; it is the main table where there is none. Where
+    // tables are dear a copy, and folding it back, costs more than the wait it saves: then the main table serves.
+    void bindFresh(const std::set<ProxyId>& ids, const Place& place) {
+        const auto at = mains.find(place);
         const bool alone = at == mains.end() || tables.at(at->second).bound.empty();
-        const TableId fresh = layTable(zone, group, !alone);
+        if (!alone && dear()) {
+            for (const ProxyId id : ids) bind(id, at->second);
+            return;
+        }
+        const TableId fresh = layTable(place, !alone);
         if (alone) {
             if (at != mains.end()) {
                 out.push_back(DropLines{at->second});
                 tables.erase(at->second);
             }
-            mains[{zone, group}] = fresh;
+            mains[place] = fresh;
         }
         for (const ProxyId id : ids) bind(id, fresh);
     }
@@ -357,12 +418,15 @@
         if (hit == marks.end()) return;
         const std::uint64_t turn = *hit;
         marks.erase(marks.begin(), hit + 1);
+        at->second.late = at->second.late && !marks.empty();
         channelReached(turn);
         for (const TableId id : at->second.tables) {
             const auto t = tables.find(id);
             if (t == tables.end() || turn < t->second.markTurn) continue;
             t->second.unanswered.erase(a.proxy);
-            if (t->second.unanswered.empty()) t->second.settle();
+            if (!t->second.unanswered.empty()) continue;
+            t->second.settle();
+            due = true;
         }
     }
     // The timeout releases the wait; silent proxies go to a copy, so that the others are not held up.
@@ -375,8 +439,12 @@
         for (const auto& [id, silent] : late) {
             Table& t = tables.at(id);
             t.settle();
+            if (dear()) {
+                for (const ProxyId p : silent) proxies.at(p).late = true;
+                continue;
+            }
             if (t.copy || silent.size() == t.bound.size() || !mayWrite(silent, tableLines(), false)) continue;
-            bindFresh(silent, t.zone, t.group);
+            bindFresh(silent, {t.zone, t.group, t.column});
         }
     }
     // Copies that say the same as their main table are folded back, so that tables stay few and shared.
@@ -388,11 +456,12 @@
                 at = tables.erase(at);
                 continue;
             }
-            Table& main = tables.at(mains.at({t.zone, t.group}));
+            const TableId home = mains.at({t.zone, t.group, t.column});
+            const Table& main = tables.at(home);
             if (t.copy && t.unanswered.empty() && main.unanswered.empty() && now - t.madeAt >= kFoldAfter &&
                 t.acked == main.acked && mayWrite(t.bound, 1 + static_cast<double>(t.acked.size()), false)) {
                 const std::set<ProxyId> ids = t.bound;
-                for (const ProxyId p : ids) bind(p, mains.at({t.zone, t.group}));
+                for (const ProxyId p : ids) bind(p, home);
                 continue;
             }
             ++at;
@@ -433,10 +502,21 @@
         const Micros apart = set.messagesMost > 1 ? set.messagesOver / (set.messagesMost - 1) + 1 : 0;
         slotOpen = now - lastSlot >= std::max(apart, kSlotLeast);
     }
+    [[nodiscard]] double room(bool urgent) const {
+        return set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0) - waiting - turnLines;
+    }
     [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) const {
-        const double cap = set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0);
-        return slotOpen &&
-               waiting + turnLines + static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= cap;
+        return slotOpen && static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= room(urgent);
+    }
+    // Orders cost, and a full channel makes all of them late: what no rule and no failure asks for stays within
+    // a part of the channel's pace.
+    double budget = 0;
+    Micros budgetAt = 0;
+    void earn() {
+        const double most = set.backlogLines * kBacklogShare;
+        const double earned = kSteadyShare * set.pushRate * static_cast<double>(now - budgetAt) / kSecond;
+        budget = budgetAt == 0 ? most : std::min(most, budget + earned);
+        budgetAt = now;
     }
     void write(ProxyId id, double lines) {
         ordered = true;
@@ -451,6 +531,7 @@
             if (slotOpen) lastSlot = now;
             channel.push_back({turnNumber, now, turnLines});
             waiting += turnLines;
+            budget -= turnLines;
         }
         ++turnNumber;
         ordered = false;
@@ -465,7 +546,11 @@
             if (s.ready() == !s.withdrawn) continue;
             s.withdrawn = !s.ready();
             out.push_back(Withdraw{id, s.withdrawn});
-            for (const auto& [p, proxy] : proxies) write(p, 1);
+            for (const ProxyId p : joined) write(p, 1);
+            for (const auto& [table, t] : tables) {
+                if (t.held(id) == 0) continue;
+                for (const ProxyId p : t.bound) write(p, 1);
+            }
         }
     }
 
@@ -815,7 +900,9 @@
     void on(const ProxyJoined& j) {
         on(ProxyLeft{j.proxy});
         rescale(j.usualRate);
-        proxies[j.proxy] = {j.zone, j.usualRate, {}, {}};
+        Proxy& p = proxies[j.proxy];
+        p.zone = j.zone;
+        p.rate = j.usualRate;
         joined.insert(j.proxy);
     }
     // A limit belongs to the proxies that it was judged on: those that come from a dead planner bring their
@@ -837,30 +924,43 @@
         joined.erase(l.proxy);
         demands.erase(demands.lower_bound({l.proxy, 0}), demands.upper_bound({l.proxy, set.classes.size()}));
     }
-    std::set<ProxyId> joined;
+    std::set<ProxyId> joined;  // and not bound yet
+    // As many as the channel takes, the busiest first: until then they have their standing tables.
     void bindJoined() {
         const auto ready = [](const auto& s) { return s.second.ready(); };
-        if (std::none_of(fleet.begin(), fleet.end(), ready)) return;  // what they hold is better than nothing
-        std::map<std::pair<ZoneId, std::size_t>, std::set<ProxyId>> fresh;
-        for (std::size_t g = 0; g < groups.size(); ++g) {
-            const std::set<ZoneId> open = warmZones(groups[g]);
-            for (const ProxyId id : joined) {
-                fresh[{homeZone(id, proxies.at(id).zone, groups[g], open), g}].insert(id);
+        if (joined.empty() || std::none_of(fleet.begin(), fleet.end(), ready)) return;  // better than nothing
+        std::vector<ProxyId> order(joined.begin(), joined.end());
+        std::stable_sort(order.begin(), order.end(),
+                         [&](ProxyId a, ProxyId b) { return proxies.at(a).rate > proxies.at(b).rate; });
+        std::vector<std::set<ZoneId>> open;
+        for (const Group& g : groups) open.push_back(warmZones(g));
+        std::map<Place, std::set<ProxyId>> fresh;
+        const double each = static_cast<double>(groups.size()) * tableLines() + set.envelopeLines + 1;
+        double left = room(false);
+        for (const ProxyId id : order) {
+            if (left < each && (waiting > 0 || left < room(false))) break;
+            left -= each;
+            Proxy& p = proxies.at(id);
+            p.column = lightest(p.zone);
+            loads[{p.zone, p.column}] += p.rate;
+            for (std::size_t g = 0; g < groups.size(); ++g) {
+                fresh[{homeZone(id, p.zone, groups[g], open[g]), g, p.column}].insert(id);
             }
+            joined.erase(id);
         }
-        for (const auto& [at, ids] : fresh) bindFresh(ids, at.first, at.second);
-        joined.clear();
+        for (const auto& [place, ids] : fresh) bindFresh(ids, place);
     }
     void rebind() {
         std::vector<std::set<ZoneId>> open;
         for (const Group& g : groups) open.push_back(warmZones(g));
         for (auto& [id, p] : proxies) {
             for (std::size_t g = 0; g < p.tables.size(); ++g) {
-                const ZoneId home = homeZone(id, p.zone, groups[g], open[g]);
-                if (tables.at(p.tables[g]).zone == home || !mayWrite({id}, tableLines(), true)) continue;
-                const auto main = mains.find({home, g});
+                const Place home = {homeZone(id, p.zone, groups[g], open[g]), g, p.column};
+                if (tables.at(p.tables[g]).zone == std::get<0>(home) || !mayWrite({id}, tableLines(), true))
+                    continue;
+                const auto main = mains.find(home);
                 if (main == mains.end()) {
-                    bindFresh({id}, home, g);
+                    bindFresh({id}, home);
                 } else {
                     bind(id, main->second);
                 }
@@ -868,6 +968,80 @@
         }
     }
 
+    // A large fleet is run as several small ones. Where sending all proxies their zone's table would take the
+    // channel too long, each zone's servers are dealt into columns, and a proxy's table holds those of its
+    // column: bounded tables, few connections a server, and changes that concern few proxies.
+    std::vector<std::vector<ServerId>> members;  // by column
+    std::map<std::pair<ZoneId, std::size_t>, double> loads, powers;  // by zone and column
+    [[nodiscard]] std::size_t columnsWanted() const {
+        const double mine = std::max(static_cast<double>(proxies.size()),
+                                     static_cast<double>(set.proxies) / std::max(1U, set.planners));
+        const double zone = static_cast<double>(fleet.size()) / std::max(1U, set.zones);
+        const double lines = mine * static_cast<double>(groups.size()) * (zone + set.envelopeLines);
+        const double most = std::max(1.0, zone / kColumnLeast);
+        return static_cast<std::size_t>(std::clamp(std::round(lines / set.pushRate / kColumnCost), 1.0, most));
+    }
+    // How much load a column's servers of this zone have for what they can do.
+    [[nodiscard]] double strain(ZoneId zone, std::size_t column) const {
+        const double power = valueIn(powers, std::pair(zone, column), 0);
+        return valueIn(loads, std::pair(zone, column), 0) / std::max(power, kLeastPower);
+    }
+    [[nodiscard]] std::size_t lightest(ZoneId zone) const {
+        std::size_t best = 0;
+        for (std::size_t c = 1; c < members.size(); ++c) {
+            if (strain(zone, c) < strain(zone, best)) best = c;
+        }
+        return best;
+    }
+    // New servers go where least is; then at most one server a zone moves, from the column with most to spare
+    // to the one most strained: a moved line costs far less than a moved proxy.
+    void deal() {
+        if (members.empty() && !fleet.empty()) members.resize(columnsWanted());
+        powers.clear();
+        for (auto& [id, s] : fleet) {
+            s.base = s.ready() ? ramp(s) * shiftOf(id) * leanOf(s.entry.zone) : 0;
+            if (s.column != kNoColumn)
+                powers[{s.entry.zone, s.column}] += s.weight() * s.base * health(s.entry.zone, id);
+        }
+        for (auto& [id, s] : fleet) {
+            if (s.column != kNoColumn || !s.ready()) continue;
+            s.column = 0;
+            for (std::size_t c = 1; c < members.size(); ++c) {
+                if (powers[{s.entry.zone, c}] < powers[{s.entry.zone, s.column}]) s.column = c;
+            }
+            powers[{s.entry.zone, s.column}] += s.weight() * s.base;
+            members[s.column].push_back(id);
+        }
+        if (members.size() > 1 && now >= nextDeal) even();
+    }
+    Micros nextDeal = 0;
+    void even() {
+        nextDeal = now + kDealEvery;
+        loads.clear();
+        for (const auto& [id, p] : proxies) {
+            if (!p.tables.empty()) loads[{p.zone, p.column}] += p.rate;
+        }
+        for (ZoneId z = 0; z < set.zones; ++z) {
+            std::size_t most = 0, least = lightest(z);
+            double load = 0, power = 0;
+            for (std::size_t c = 0; c < members.size(); ++c) {
+                load += loads[{z, c}];
+                power += powers[{z, c}];
+                if (strain(z, c) > strain(z, most)) most = c;
+            }
+            if (power <= 0 || strain(z, most) < kUneven * load / power) continue;
+            auto& from = members[least];
+            const auto gives = std::find_if(from.begin(), from.end(), [&](ServerId id) {
+                const Server& s = fleet.at(id);
+                return s.entry.zone == z && s.base > 0 && warm(s) && health(z, id) == 1;
+            });
+            if (gives == from.end()) continue;
+            fleet.at(*gives).column = most;
+            members[most].push_back(*gives);
+            from.erase(gives);
+        }
+    }
+
     // ======== Sites with slices ========
     // Slices stay where the store has them. One moves only when none of its servers is ready; where a slice
     // has one owner, the new one waits until a proxy that has lost us has stopped writing to the old one
@@ -933,7 +1107,10 @@
     // ======== The turn ========
     Micros nextTick = 0;
 
+    bool due = true;  // something came that may call for orders; else they wait for the tick
     void runTables() {
+        deal();
+        bindJoined();
         rebind();
         for (auto& [id, t] : tables) push(id, t);
         releaseSilent();
@@ -942,21 +1119,28 @@
     void on(const auto& /*event*/) {}  // our timers only wake us; no decision needs the other events yet
     void turn(const std::vector<Event>& events) {
         if (turnNumber == 0) askForList();
-        for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
+        for (const Event& event : events) {
+            due = due || std::holds_alternative<ListNews>(event) || std::holds_alternative<ProxyJoined>(event);
+            std::visit([this](const auto& e) { on(e); }, event);
+        }
         drainChannel();
         openSlot();
-        withdraw();
-        if (set.shards == 0) bindJoined();
+        earn();
         if (now >= nextTick) {
             judge();
             noteAnswered();
             shift();
             setLimit();
             spread();
+            due = true;
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
         }
-        set.shards > 0 ? runSlices() : runTables();
+        if (due) {
+            withdraw();
+            set.shards > 0 ? runSlices() : runTables();
+            due = false;
+        }
         closeTurn();
     }
 };
