--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -83,7 +83,7 @@
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kLostMost = 0.1;    // of a zone's weight ejected: it needs the others
 constexpr double kSpillStep = 0.05, kSpillGain = 3;  // a tick, where lines are dear
-constexpr double kFlowTime = 0.6, kFlowBack = 0.1;
+constexpr double kFlowTime = 0.6, kFlowBack = 0.02;
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
 using Hash = std::uint64_t;
