--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,23 +1,23 @@
-// marldale's decisions. The interface (settings, events, actions) is policy.h; no wire is known here.
+// marldale's decisions. The interface (settings, events, actions) is policy.h;
+// no wire is known here.
 //
 // Parts, in this order, each owning its state:
-//   1 fleet view   2 table store and push   3 pacer   4 withdrawals   5 slow start   6 health
-//   7 levels and retries   8 joins and restart; last, sites with slices.
+//   1 fleet view   2 table store and push   3 pacer   4 withdrawals   5 slow
+//   start   6 health 7 levels and retries   8 joins and restart; last, sites
+//   with slices.
 #include "policy.h"
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <set>
 #include <tuple>
 
+#include "state.h"
+
 namespace marldale {
 namespace {
 
-constexpr Micros kMs = 1000;
-constexpr Micros kSecond = 1000 * kMs;
-
 // ---- Tuned values, all of them ----
 constexpr Micros kTick = 200 * kMs;           // how often held changes and health are looked at
 constexpr Micros kMarkTimeout = 3 * kSecond;  // an unanswered mark holds later changes this long
@@ -25,16 +25,14 @@
 constexpr double kBacklogShare = 0.5;         // of the allowed backlog we fill this much
 constexpr double kSlowChannel = 8;            // the channel may run this many times slower than told
 constexpr double kUrgentCap = 1.6;            // what the rules demand may fill this much more
-constexpr double kSteadyShare = 0.25;         // of the channel's pace that changes of weights may use
 constexpr double kColumnCost = 0.1;           // seconds of channel for all tables before a fleet is dealt
 constexpr double kDearCost = 0.1;             // the same, from which a copy costs more than it saves
 constexpr double kLeastPower = 1e-3;
 constexpr double kColumnLeast = 8;  // servers of a zone that a column keeps at least
 constexpr Micros kDealEvery = 200 * kMs;
-constexpr double kUneven = 1.15;              // load against capacity of a column that calls for a server
-constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
-constexpr double kSameValue = 1.25;           // a line within this factor of what is held stays as it is
-constexpr double kRampFrom = 0.25;            // weight of a server that has just started
+constexpr double kUneven = 1.15;          // load against capacity of a column that calls for a server
+constexpr Micros kSlotLeast = 200 * kMs;  // least time between two rounds of messages
+constexpr double kRampFrom = 0.25;        // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65,
                  kColdShut = 0.5;       // part of the calm picture that opens, shuts cold servers
@@ -51,8 +49,9 @@
 constexpr double kLinkRatio = 0.75;     // share of tries across zones failing that proves a cut
 constexpr double kHomeFails = 0.3;      // a zone's own servers fail less: the link is to blame
 constexpr double kEjectMost = 0.3;      // of the ready servers, at most this share is ejected
-constexpr Micros kEjectFor = 4 * kSecond, kEjectForMost = 16 * kSecond;  // doubles with each failed trial
-constexpr double kTrialWeight = 0.1;  // trickle to a server that may have recovered
+constexpr Micros kEjectFor = 4 * kSecond,
+                 kEjectForMost = 16 * kSecond;  // doubles with each failed trial
+constexpr double kTrialWeight = 0.1;            // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
 constexpr double kShiftPower = 0.7;  // how strongly a server's slowness moves its weight
 constexpr double kLean = 0.05;       // how fast weight leans away from slow zones, a second
@@ -69,7 +68,7 @@
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
 constexpr double kCycleGain = 0.05;
-constexpr double kIntakeFull = 0.8;  // of the intake: from here on sums come late
+constexpr double kIntakeFull = 0.8;   // of the intake: from here on sums come late
 constexpr double kLeastSpanS = 0.1;   // guards a rate against a span of nothing
 constexpr double kProvenFade = 0.98;  // a window
 constexpr double kLiftAt = 1.2;       // of what comes: a limit above it is lifted
@@ -79,82 +78,31 @@
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
-constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
+constexpr double kQueueing = 1.6,
+                 kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kLostMost = 0.1;    // of a zone's weight ejected: it needs the others
-constexpr double kSpillStep = 0.05, kSpillGain = 3;  // a tick, where lines are dear
+constexpr double kSpillStep = 0.05,
+                 kSpillGain = 3;  // a tick, where lines are dear
 constexpr double kFlowTime = 0.6, kFlowBack = 0.02;
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
-using Hash = std::uint64_t;
-using Key = std::uint64_t;  // a server's id, or kLevelKey + class
-constexpr Key kLevelKey = Key{1} << 32U;
 constexpr double kLevelWorth = 1e6, kUrgentWorth = 1e9;
 
-constexpr std::size_t kNoColumn = ~std::size_t{0};
-
-// What a line says, packed: its value in steps of 1/4096 and its retry mode. 0 stands for "no such line".
-Hash hashOf(float value, unsigned mode) {
-    return (static_cast<Hash>(std::llround(static_cast<double>(value) * 4096)) << 8U | mode) + 1;
-}
-double valueOf(Hash hash) { return hash == 0 ? 0 : static_cast<double>((hash - 1) >> 8U) / 4096; }
-bool sameMode(Hash hash, unsigned mode) { return hash != 0 && ((hash - 1) & 0xffU) == mode; }
-
-template <class Map, class Id>
-double valueIn(const Map& map, const Id& id, double absent) {
-    const auto at = map.find(id);
-    return at == map.end() ? absent : at->second;
-}
-
 // Factors move in steps of a quarter octave, so that noise in what they come from sends no orders.
 double stepped(double factor) { return factor <= 0 ? 0 : std::exp2(std::round(std::log2(factor) * 4) / 4); }
 
-// Sums of tries, fading if asked to. A failed try counts as an answer after `failedTime`.
-struct Tally {
-    double tries = 0, failed = 0, time = 0, seconds = 0;
-    Micros at = 0;
-    void fade(Micros now, double halfLifeS) {
-        const double keep = std::exp2(-static_cast<double>(now - at) / (halfLifeS * kSecond));
-        tries *= keep;
-        failed *= keep;
-        time *= keep;
-        at = now;
-    }
-    void add(const ServerSums& r, double failedTime) {
-        const std::uint32_t bad = std::min(r.failed, r.tries);
-        tries += r.tries;
-        failed += bad;
-        time += static_cast<double>(r.meanTime) * (r.tries - bad) + bad * failedTime;
-        seconds += static_cast<double>(r.period) / kSecond;
-    }
-    void add(const Tally& t) {
-        tries += t.tries;
-        failed += t.failed;
-        time += t.time;
-    }
-    [[nodiscard]] double ratio() const { return tries > 0 ? failed / tries : 0; }
-    [[nodiscard]] double mean() const { return tries > 0 ? time / tries : 0; }
-};
-
 }  // namespace
 
 struct Planner::State {
-    explicit State(Settings settings) : set(std::move(settings)) { makeGroups(); }
+    explicit State(Settings settings) : set(std::move(settings)) {}
 
     const Settings set;
+    const std::vector<Group> groups = groupsOf(set.classes);
     Micros now = 0;
     std::vector<Action> out;
 
     // ======== 1. Fleet view ========
-    struct Server {
-        ListEntry entry;
-        bool withdrawn = false;
-        std::size_t column = kNoColumn;
-        double base = 0;  // its part of a line's value that is the same in every table
-        double rank = 0, step = 1;  // its place among the servers of its zone in its column, and one place more
-        [[nodiscard]] double weight() const { return entry.weight > 0 ? entry.weight : 1; }
-        [[nodiscard]] bool ready() const { return entry.state == ServerState::ready; }
-    };
     std::map<ServerId, Server> fleet;
 
     void on(const ListNews& news) {
@@ -179,68 +127,12 @@
     }
     [[nodiscard]] bool warm(const Server& s) const { return age(s) >= set.warmUp; }
 
-    // Classes with the same zones open to them share tables.
-    struct Group {
-        ClassMask classes = 0;
-        std::uint32_t zones = ~0U;
-        bool ownZoneOnly = false;
-        [[nodiscard]] bool opens(ZoneId zone) const { return ((zones >> zone) & 1U) != 0; }
-    };
-    std::vector<Group> groups;
-    void makeGroups() {
-        for (std::size_t c = 0; c < set.classes.size(); ++c) {
-            const ClassSettings& k = set.classes[c];
-            auto at = std::find_if(groups.begin(), groups.end(), [&](const Group& g) {
-                return g.zones == k.zones && g.ownZoneOnly == k.ownZoneOnly;
-            });
-            if (at == groups.end()) at = groups.insert(groups.end(), Group{0, k.zones, k.ownZoneOnly});
-            at->classes = static_cast<ClassMask>(at->classes | (1U << c));
-        }
-        if (groups.size() == 1) groups[0].classes = 0;
-    }
-
     // ======== 2. Table store and push (DESIGN steps 1 to 6) ========
-    struct Entry {
-        float value = 0;
-        std::uint8_t mode = 0;
-    };
-    using Content = std::map<Key, Entry>;
-    struct Table {
-        ZoneId zone = 0;
-        std::size_t group = 0, column = 0;
-        bool copy = false;
-        std::map<Key, Hash> acked, pending;  // hashes of answered lines, and of those under an open mark
-        std::uint64_t markTurn = 0;
-        Micros markedAt = 0, madeAt = 0;
-        std::set<ProxyId> bound, unanswered;
-        [[nodiscard]] Hash held(Key key) const {
-            if (const auto p = pending.find(key); p != pending.end()) return p->second;
-            const auto a = acked.find(key);
-            return a == acked.end() ? 0 : a->second;
-        }
-        void settle() {  // an answer moves marked lines into the acknowledged hashes
-            for (const auto& [key, hash] : pending) {
-                acked[key] = hash;
-                if (hash == 0) acked.erase(key);
-            }
-            pending.clear();
-            unanswered.clear();
-        }
-    };
     std::map<TableId, Table> tables;
-    using Place = std::tuple<ZoneId, std::size_t, std::size_t>;  // a table's zone, group and column
     std::map<Place, TableId> mains;
     TableId lastTable = 0;
     std::uint64_t turnNumber = 0;
 
-    struct Proxy {
-        ZoneId zone = 0;
-        double rate = 0;
-        std::size_t column = 0;
-        bool late = false;                // it owes an answer for too long: nothing waits for it
-        std::vector<TableId> tables;      // by group
-        std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
-    };
     std::map<ProxyId, Proxy> proxies;
     std::set<ProxyId> written;  // proxies that get a message this turn
     double turnLines = 0;
@@ -280,42 +172,22 @@
             out.push_back(SetLine{id, static_cast<ServerId>(key), entry.value});
         }
     }
-    void mark(Table& t, const std::set<ProxyId>& by) {
-        t.markTurn = turnNumber;
-        t.markedAt = now;
-        for (const ProxyId p : by) {
-            if (!proxies.at(p).late) t.unanswered.insert(p);
-        }
-    }
-
-    struct Change {
-        double worth = 0;  // what goes first where not all fits
-        Key key = 0;
-        Entry entry;
-    };
-    // What differs from what the proxies hold, most valuable first: cuts that the rules or failing servers ask
-    // for, levels, weights by how much they shift. Lines of withdrawn servers carry nothing and go last.
+    // What differs from what the proxies hold, most valuable first: cuts that the rules or failing servers
+    // ask for, levels, weights by how much they shift. Lines of withdrawn servers carry nothing and go last.
     [[nodiscard]] std::vector<Change> changes(const Table& t, const Content& want) const {
         std::vector<Change> diff;
-        const bool costly = dear();
         const auto add = [&](Key key, const Entry& entry, double worth) {
             diff.push_back({urgentCut(key, t.zone) ? kUrgentWorth : worth, key, entry});
         };
         for (const auto& [key, entry] : want) {
             const Hash has = t.held(key);
-            if (has == hashOf(entry.value, entry.mode)) continue;
-            const double old = valueOf(has);
-            const double ratio = old > 0 ? entry.value / old : 0;
-            if (costly && sameMode(has, entry.mode) && ratio < kSameValue && ratio * kSameValue > 1) continue;
-            add(key, entry, key >= kLevelKey ? kLevelWorth : std::abs(entry.value - old));
+            if (has == hashOf(entry)) continue;
+            add(key, entry, key >= kLevelKey ? kLevelWorth : std::abs(entry.value - valueOf(has)));
         }
-        for (const auto* lines : {&t.acked, &t.pending}) {
-            for (const auto& [key, hash] : *lines) {
-                if (key >= kLevelKey || hash == 0 || want.count(key) || t.held(key) == 0) continue;
-                if (lines == &t.pending && t.acked.count(key)) continue;  // named above
-                const auto s = fleet.find(static_cast<ServerId>(key));
-                add(key, {0, 0}, s != fleet.end() && s->second.ready() ? valueOf(hash) : 0);
-            }
+        for (const Key key : t.heldServers()) {
+            if (want.count(key)) continue;
+            const auto s = fleet.find(static_cast<ServerId>(key));
+            add(key, {0, 0}, s != fleet.end() && s->second.ready() ? valueOf(t.held(key)) : 0);
         }
         std::stable_sort(diff.begin(), diff.end(),
                          [](const Change& a, const Change& b) { return a.worth > b.worth; });
@@ -329,17 +201,16 @@
         const bool urgent = diff.front().worth >= kUrgentWorth;
         if (!t.unanswered.empty() && !urgent) return;
         if (!t.bound.empty()) {
-            if (!slotOpen || (budget <= 0 && diff.front().worth < kLevelWorth)) return;
+            if (!slotOpen) return;
             const double fits = room(urgent) / static_cast<double>(t.bound.size()) - set.envelopeLines - 1;
             if (fits < 1) return;
             if (fits < static_cast<double>(diff.size())) diff.resize(static_cast<std::size_t>(fits));
         }
         for (const Change& d : diff) {
             order(id, d.key, d.entry);
-            t.pending[d.key] =
-                d.entry.value > 0 || d.key >= kLevelKey ? hashOf(d.entry.value, d.entry.mode) : 0;
+            t.pending[d.key] = d.removes() ? 0 : hashOf(d.entry);
         }
-        mark(t, t.bound);
+        t.mark(turnNumber, now, t.bound);
         for (const ProxyId p : t.bound) write(p, static_cast<double>(diff.size()));
         if (t.bound.empty()) t.settle();
     }
@@ -371,8 +242,7 @@
         const auto at = tables.find(table);
         if (at == tables.end()) return;
         at->second.bound.erase(id);
-        at->second.unanswered.erase(id);
-        if (at->second.unanswered.empty()) at->second.settle();
+        at->second.answer(id);
     }
     void bind(ProxyId id, TableId table) {
         Proxy& p = proxies.at(id);
@@ -382,18 +252,13 @@
         p.tables[t.group] = table;
         t.bound.insert(id);
         out.push_back(Bind{id, table, groups[t.group].classes});
-        mark(t, {id});
-        write(id, 1 + static_cast<double>(t.acked.size() + t.pending.size()));
+        t.mark(turnNumber, now, {id});
+        write(id, 1 + t.lines());
     }
-    // A fresh marked copy of a zone's table for these proxies; it is the main table where there is none. Where
-    // tables are dear a copy, and folding it back, costs more than the wait it saves: then the main table serves.
+    // A fresh marked copy of a zone's table for these proxies; it is the main table where there is none.
     void bindFresh(const std::set<ProxyId>& ids, const Place& place) {
         const auto at = mains.find(place);
         const bool alone = at == mains.end() || tables.at(at->second).bound.empty();
-        if (!alone && dear()) {
-            for (const ProxyId id : ids) bind(id, at->second);
-            return;
-        }
         const TableId fresh = layTable(place, !alone);
         if (alone) {
             if (at != mains.end()) {
@@ -427,15 +292,12 @@
         if (hit == marks.end()) return;
         const std::uint64_t turn = *hit;
         marks.erase(marks.begin(), hit + 1);
-        at->second.late = at->second.late && !marks.empty();
-        channelReached(turn);
+        channel.reached(turn);
         for (const TableId id : at->second.tables) {
             const auto t = tables.find(id);
             if (t == tables.end() || turn < t->second.markTurn) continue;
-            t->second.unanswered.erase(a.proxy);
-            if (!t->second.unanswered.empty()) continue;
-            t->second.settle();
-            due = true;
+            t->second.answer(a.proxy);
+            due = due || t->second.unanswered.empty();
         }
     }
     // The timeout releases the wait; silent proxies go to a copy, so that the others are not held up.
@@ -448,12 +310,8 @@
         for (const auto& [id, silent] : late) {
             Table& t = tables.at(id);
             t.settle();
-            if (dear()) {
-                for (const ProxyId p : silent) proxies.at(p).late = true;
-                continue;
-            }
             if (t.copy || silent.size() == t.bound.size() || !mayWrite(silent, tableLines(), false)) continue;
-            bindFresh(silent, {t.zone, t.group, t.column});
+            bindFresh(silent, t.place());
         }
     }
     // Copies that say the same as their main table are folded back, so that tables stay few and shared.
@@ -465,10 +323,10 @@
                 at = tables.erase(at);
                 continue;
             }
-            const TableId home = mains.at({t.zone, t.group, t.column});
+            const TableId home = mains.at(t.place());
             const Table& main = tables.at(home);
             if (t.copy && t.unanswered.empty() && main.unanswered.empty() && now - t.madeAt >= kFoldAfter &&
-                t.acked == main.acked && mayWrite(t.bound, 1 + static_cast<double>(t.acked.size()), false)) {
+                t.acked == main.acked && mayWrite(t.bound, 1 + t.lines(), false)) {
                 const std::set<ProxyId> ids = t.bound;
                 for (const ProxyId p : ids) bind(p, home);
                 continue;
@@ -478,30 +336,7 @@
     }
 
     // ======== 3. Pacer ========
-    // Answers come in the channel's order, so all that was ordered before an answered turn has left the
-    // channel. What may still wait is therefore counted, not guessed, whatever the channel's speed.
-    struct Sent {
-        std::uint64_t turn = 0;
-        Micros at = 0;
-        double lines = 0;
-    };
-    std::deque<Sent> channel;
-    double waiting = 0;
-
-    void channelReached(std::uint64_t turn) {
-        while (!channel.empty() && channel.front().turn < turn) {
-            waiting -= channel.front().lines;
-            channel.pop_front();
-        }
-    }
-    void drainChannel() {  // proxies that never answer: a channel at its slowest has still sent this much
-        while (!channel.empty() &&
-               static_cast<double>(now - channel.front().at) / kSecond * set.pushRate / kSlowChannel >
-                   waiting) {
-            waiting -= channel.front().lines;
-            channel.pop_front();
-        }
-    }
+    Channel channel;
     // Messages leave in slots, so far apart that a proxy's limit holds whatever happens in between: all that
     // falls due meanwhile goes out as one message. Only a proxy's first bind does not wait for a slot.
     // (Incident i648ecb: withdrawals that came on top of a full window broke the limit.)
@@ -512,21 +347,11 @@
         slotOpen = now - lastSlot >= std::max(apart, kSlotLeast);
     }
     [[nodiscard]] double room(bool urgent) const {
-        return set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0) - waiting - turnLines;
+        return set.backlogLines * kBacklogShare * (urgent ? kUrgentCap : 1.0) - channel.waiting() - turnLines;
     }
     [[nodiscard]] bool mayWrite(const std::set<ProxyId>& ids, double lines, bool urgent) const {
         return slotOpen && static_cast<double>(ids.size()) * (lines + set.envelopeLines + 1) <= room(urgent);
     }
-    // Orders cost, and a full channel makes all of them late: what no rule and no failure asks for stays within
-    // a part of the channel's pace.
-    double budget = 0;
-    Micros budgetAt = 0;
-    void earn() {
-        const double most = set.backlogLines * kBacklogShare;
-        const double earned = kSteadyShare * set.pushRate * static_cast<double>(now - budgetAt) / kSecond;
-        budget = budgetAt == 0 ? most : std::min(most, budget + earned);
-        budgetAt = now;
-    }
     void write(ProxyId id, double lines) {
         ordered = true;
         turnLines += lines;
@@ -538,9 +363,7 @@
         if (ordered) {
             out.push_back(Mark{static_cast<std::uint16_t>(turnNumber & 0xffffU), false});
             if (slotOpen) lastSlot = now;
-            channel.push_back({turnNumber, now, turnLines});
-            waiting += turnLines;
-            budget -= turnLines;
+            channel.send(turnNumber, now, turnLines);
         }
         ++turnNumber;
         ordered = false;
@@ -599,12 +422,6 @@
     }
 
     // ======== 6. Health ========
-    enum class Fit { ok, ejected, trial };
-    struct Health {
-        Fit fit = Fit::ok;
-        Micros until = 0, backoff = kEjectFor, countFrom = 0;
-        Tally seen;
-    };
     std::map<std::pair<ZoneId, ServerId>, Health> healths;
 
     std::map<std::pair<ZoneId, ZoneId>, Health> links;  // from a zone's proxies to another zone's servers
@@ -664,8 +481,8 @@
         paces.erase(id);
         shifts.erase(id);
     }
-    // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too.
-    // True if it ejects now.
+    // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too. True
+    // if it ejects now.
     bool advance(Health& h, double proof, double usual, bool mayEject, Micros backoffMost) {
         if (h.fit == Fit::ejected) {
             if (now < h.until) return false;
@@ -677,7 +494,7 @@
         const double chance = std::max(usual, kLeastFailing) * h.seen.tries;
         const bool proven = h.seen.failed - chance >= surprise * std::sqrt(chance);
         if (mayEject && h.seen.tries >= least && h.seen.ratio() >= proof && proven) {
-            if (h.fit == Fit::trial) h.backoff = std::min(2 * h.backoff, backoffMost);
+            h.backoff = h.fit == Fit::trial ? std::min(2 * h.backoff, backoffMost) : kEjectFor;
             h.fit = Fit::ejected;
             h.until = now + h.backoff;
             h.seen = {};
@@ -687,7 +504,6 @@
         const bool recovered = h.seen.tries >= least && h.seen.ratio() < kRecovered;
         if (h.fit == Fit::trial && (recovered || now >= h.until)) {
             h.fit = Fit::ok;
-            h.backoff = kEjectFor;
         }
         return false;
     }
@@ -705,7 +521,8 @@
             if (fleet.at(key.second).entry.zone != key.first) continue;
             home[key.first].add(h.seen);
         }
-        // Among hundreds of servers chance alone fails four of four tries somewhere: proof grows with the fleet.
+        // Among hundreds of servers chance alone fails four of four tries somewhere: proof grows with the
+        // fleet.
         surprise = std::sqrt(2 * std::log(1 + static_cast<double>(healths.size())));
         std::sort(ratios.begin(), ratios.end());
         const double usual = ratios.empty() ? 0 : ratios[ratios.size() / 2];
@@ -722,13 +539,13 @@
         for (const auto& [id, s] : fleet) ready += s.ready();
         for (auto& [key, h] : healths) {
             if (linkOf(key.first, fleet.at(key.second).entry.zone) < 1) h.seen = {};  // the link is to blame
-            ejected[key.first] +=
-                advance(h, proof, all.ratio(), !panic && ejected[key.first] + 1 <= kEjectMost * ready, kEjectForMost);
+            ejected[key.first] += advance(
+                h, proof, all.ratio(), !panic && ejected[key.first] + 1 <= kEjectMost * ready, kEjectForMost);
         }
     }
 
-    // Slowness: weights move slowly towards equal answer times. Failed tries count as very slow answers,
-    // so that a server that fails fast does not attract load.
+    // Slowness: weights move slowly towards equal answer times. Failed tries count as very slow answers, so
+    // that a server that fails fast does not attract load.
     std::map<ServerId, Tally> paces;
     std::map<ServerId, double> shifts;
     std::map<ZoneId, double> leans;
@@ -759,6 +576,7 @@
         }
         // A whole zone has tries enough to learn from: where only some zones may take a class, the others
         // take more of what may go anywhere.
+        if (groups.size() < 2) return;
         const bool cut =
             std::any_of(links.begin(), links.end(), [](const auto& l) { return l.second.fit != Fit::ok; });
         std::map<ZoneId, Tally> byZone;
@@ -770,8 +588,8 @@
         }
     }
 
-    // A zone's own servers carry its requests while they have slack. The exception: where they are
-    // proven hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
+    // A zone's own servers carry its requests while they have slack. The exception: where they are proven
+    // hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
     struct Spill {
         double share = -1;  // not set yet
         double base = 0;    // the best answer time that its servers have shown
@@ -783,16 +601,17 @@
         const auto at = spills.find(zone);
         return at == spills.end() ? 1 : at->second.share;
     }
-    // A share of the other zones' lines. Where lines are dear, whole lines, as many as the excess needs, so that
-    // connections stay few too.
+    // A share of the other zones' lines. Where lines are dear, whole lines, as many as the excess needs, so
+    // that connections stay few too.
     [[nodiscard]] double spillTo(const Server& s, ZoneId from) const {
         if (!dear()) return spillOf(from);
         const double place = std::fmod(s.rank + static_cast<double>(from) / set.zones, 1.0);
         return std::clamp((valueIn(flows, std::pair(from, s.entry.zone), 0) - place) / s.step, 0.0, 1.0);
     }
     void spread() {
-        std::map<ZoneId, Tally> own;           // a zone's servers, whoever met them
-        std::map<ZoneId, double> whole, lost;  // weight of its ready servers, and of those among them not fit
+        std::map<ZoneId, Tally> own;  // a zone's servers, whoever met them
+        std::map<ZoneId, double> whole,
+            lost;  // weight of its ready servers, and of those among them not fit
         std::map<std::pair<ZoneId, ZoneId>, Tally> way;
         for (const auto& [id, s] : fleet) whole[s.entry.zone] += s.ready() ? s.weight() : 0;
         for (const auto& [key, h] : healths) {
@@ -812,16 +631,16 @@
         if (own.tries >= kFewTries && time > 0) s.base = s.base > 0 ? std::min(s.base, time) : time;
         const bool queueing = time > kQueueing * s.base;
         const bool hot = troubled || queueing || time > kHotTime * tightestAim();
-        const bool calm = !hot && own.tries >= kFewTries && time < kCoolTime * tightestAim() &&
-                          time < kCalmOfBase * s.base;
+        const bool calm =
+            !hot && own.tries >= kFewTries && time < kCoolTime * tightestAim() && time < kCalmOfBase * s.base;
         if (hot) s.share = 1;
         if (!calm || s.calmSince == 0) s.calmSince = now;
         if (now - s.calmSince < kCoolHold) return;
         s.share = s.share > kSpillLeast ? s.share / 2 : 0;
         s.calmSince = now;
     }
-    // From a hot zone more goes to each other zone as far as it answers faster there; a slow or lossy way, or a
-    // zone that is as hot, gets less again.
+    // From a hot zone more goes to each other zone as far as it answers faster there; a slow or lossy way, or
+    // a zone that is as hot, gets less again.
     void flow(ZoneId z, const std::map<std::pair<ZoneId, ZoneId>, Tally>& way, bool troubled) {
         const auto home = way.find({z, z});
         if (home == way.end() || home->second.tries < kFewTries) return;
@@ -857,8 +676,8 @@
         for (const auto& [key, rate] : demands) came += rate;
         return came;
     }
-    // The limit is judged on windows of sums; after a change, sums of tries from before it are left out,
-    // lest the same jam be answered over and over.
+    // The limit is judged on windows of sums; after a change, sums of tries from before it are left out, lest
+    // the same jam be answered over and over.
     std::map<std::pair<ZoneId, ServerId>, Tally> window;
     Micros windowFrom = 0;
     double proven = 0;  // good answers a second that the fleet has given us
@@ -870,7 +689,8 @@
         if (now < windowFrom + set.reportEvery + kWindowExtra) return;
         Tally all;
         std::vector<double> times;
-        double admitted = 0, good = 0;  // a second; each sum covers a span of its own
+        double admitted = 0,
+               good = 0;  // a second; each sum covers a span of its own
         for (const auto& [key, t] : window) {
             all.add(t);
             times.push_back(t.mean() / tightestAim());
@@ -878,14 +698,16 @@
             good += (t.tries - t.failed) / std::max(t.seconds, kLeastSpanS);
         }
         // Where sums come late, one window holds those of a part of the servers.
-        const double parts = std::max(1.0, static_cast<double>(cycle) / static_cast<double>(now - windowFrom));
+        const double parts =
+            std::max(1.0, static_cast<double>(cycle) / static_cast<double>(now - windowFrom));
         admitted *= parts;
         good *= parts;
         window.clear();
         windowFrom = now;
         if (all.tries < kFewTries) return;
         // The median server counts beside the mean: a few that fail or hang are no overload.
-        std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2), times.end());
+        std::nth_element(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2),
+                         times.end());
         const double slow = all.mean() / tightestAim(), middle = times[times.size() / 2];
         proven = std::max(proven * kProvenFade, good);
         const double came = cameRate();
@@ -1002,7 +824,7 @@
         const double each = static_cast<double>(groups.size()) * tableLines() + set.envelopeLines + 1;
         double left = room(false);
         for (const ProxyId id : order) {
-            if (left < each && (waiting > 0 || left < room(false))) break;
+            if (left < each && (channel.waiting() > 0 || left < room(false))) break;
             left -= each;
             Proxy& p = proxies.at(id);
             p.column = lightest(p.zone);
@@ -1036,7 +858,8 @@
     // channel too long, each zone's servers are dealt into columns, and a proxy's table holds those of its
     // column: bounded tables, few connections a server, and changes that concern few proxies.
     std::vector<std::vector<ServerId>> members;  // by column
-    std::map<std::pair<ZoneId, std::size_t>, double> loads, powers;  // by zone and column
+    std::map<std::pair<ZoneId, std::size_t>, double> loads,
+        powers;  // by zone and column
     [[nodiscard]] std::size_t columnsWanted() const {
         const double zone = static_cast<double>(fleet.size()) / std::max(1U, set.zones);
         const double most = std::max(1.0, zone / kColumnLeast);
@@ -1115,12 +938,8 @@
 
     // ======== Sites with slices ========
     // Slices stay where the store has them. One moves only when none of its servers is ready; where a slice
-    // has one owner, the new one waits until a proxy that has lost us has stopped writing to the old one
-    // (the lease) and what it had taken in is over (the settle time).
-    struct Slice {
-        std::set<ServerId> lines;
-        Micros freeAt = 0;
-    };
+    // has one owner, the new one waits until a proxy that has lost us has stopped writing to the old one (the
+    // lease) and what it had taken in is over (the settle time).
     std::map<TableId, Slice> slices;  // those in our charge
 
     void on(const SliceGiven& g) {
@@ -1178,7 +997,8 @@
     // ======== The turn ========
     Micros nextTick = 0;
 
-    bool due = true;  // something came that may call for orders; else they wait for the tick
+    bool due = true;  // something came that may call for orders; else they wait
+                      // for the tick
     void runTables() {
         deal();
         bindJoined();
@@ -1191,12 +1011,12 @@
     void turn(const std::vector<Event>& events) {
         if (turnNumber == 0) askForList();
         for (const Event& event : events) {
-            due = due || std::holds_alternative<ListNews>(event) || std::holds_alternative<ProxyJoined>(event);
+            due =
+                due || std::holds_alternative<ListNews>(event) || std::holds_alternative<ProxyJoined>(event);
             std::visit([this](const auto& e) { on(e); }, event);
         }
-        drainChannel();
+        channel.drain(now, set.pushRate / kSlowChannel);
         openSlot();
-        earn();
         if (now >= nextTick) {
             timeSums();
             judge();
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,222 @@
+// What a planner remembers: plain records and their bookkeeping. No decision
+// and no tuned value lives here; policy.cpp has them all.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "policy.h"
+
+namespace marldale {
+
+inline constexpr Micros kMs = 1000;
+inline constexpr Micros kSecond = 1000 * kMs;
+
+template <class Map, class Id>
+double valueIn(const Map& map, const Id& id, double absent) {
+    const auto at = map.find(id);
+    return at == map.end() ? absent : at->second;
+}
+
+// ---- Servers and proxies ----
+
+inline constexpr std::size_t kNoColumn = ~std::size_t{0};
+
+struct Server {
+    ListEntry entry;
+    bool withdrawn = false;
+    std::size_t column = kNoColumn;
+    double base = 0;            // the part of its lines' factor that is the same in every table
+    double rank = 0, step = 1;  // its place among its zone's servers in its
+                                // column, and the width of one place
+    [[nodiscard]] double weight() const { return entry.weight > 0 ? entry.weight : 1; }
+    [[nodiscard]] bool ready() const { return entry.state == ServerState::ready; }
+};
+
+struct Proxy {
+    ZoneId zone = 0;
+    double rate = 0;  // as told when it joined
+    std::size_t column = 0;
+    std::vector<TableId> tables;      // by group
+    std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
+};
+
+// Classes with the same zones open to them share tables.
+struct Group {
+    ClassMask classes = 0;
+    std::uint32_t zones = ~0U;
+    bool ownZoneOnly = false;
+    [[nodiscard]] bool opens(ZoneId zone) const { return ((zones >> zone) & 1U) != 0; }
+};
+inline std::vector<Group> groupsOf(const std::vector<ClassSettings>& classes) {
+    std::vector<Group> groups;
+    for (std::size_t c = 0; c < classes.size(); ++c) {
+        const ClassSettings& k = classes[c];
+        auto at = std::find_if(groups.begin(), groups.end(), [&](const Group& g) {
+            return g.zones == k.zones && g.ownZoneOnly == k.ownZoneOnly;
+        });
+        if (at == groups.end()) at = groups.insert(groups.end(), Group{0, k.zones, k.ownZoneOnly});
+        at->classes = static_cast<ClassMask>(at->classes | (1U << c));
+    }
+    if (groups.size() == 1) groups[0].classes = 0;
+    return groups;
+}
+
+// ---- Tables ----
+
+using Hash = std::uint64_t;
+using Key = std::uint64_t;  // a server's id, or kLevelKey + class
+inline constexpr Key kLevelKey = Key{1} << 32U;
+
+struct Entry {
+    float value = 0;
+    std::uint8_t mode = 0;
+};
+using Content = std::map<Key, Entry>;
+
+// What a line says, packed: its value in steps of 1/4096 and its retry mode. 0 stands for "no such line".
+inline Hash hashOf(const Entry& e) {
+    return (static_cast<Hash>(std::llround(static_cast<double>(e.value) * 4096)) << 8U | e.mode) + 1;
+}
+inline double valueOf(Hash hash) { return hash == 0 ? 0 : static_cast<double>((hash - 1) >> 8U) / 4096; }
+
+struct Change {
+    double worth = 0;  // what goes first where not all fits
+    Key key = 0;
+    Entry entry;
+    [[nodiscard]] bool removes() const { return key < kLevelKey && entry.value <= 0; }
+};
+
+using Place = std::tuple<ZoneId, std::size_t,
+                         std::size_t>;  // a table's zone, group and column
+
+struct Table {
+    ZoneId zone = 0;
+    std::size_t group = 0, column = 0;
+    bool copy = false;
+    std::map<Key, Hash> acked,
+        pending;  // hashes of answered lines, and of those under an open mark
+    std::uint64_t markTurn = 0;
+    Micros markedAt = 0, madeAt = 0;
+    std::set<ProxyId> bound, unanswered;
+
+    [[nodiscard]] Place place() const { return {zone, group, column}; }
+    [[nodiscard]] double lines() const { return static_cast<double>(acked.size() + pending.size()); }
+    [[nodiscard]] Hash held(Key key) const {
+        if (const auto p = pending.find(key); p != pending.end()) return p->second;
+        const auto a = acked.find(key);
+        return a == acked.end() ? 0 : a->second;
+    }
+    [[nodiscard]] std::vector<Key> heldServers() const {
+        std::set<Key> keys;
+        for (const auto* lines : {&acked, &pending}) {
+            for (const auto& [key, hash] : *lines) {
+                if (key < kLevelKey && held(key) != 0) keys.insert(key);
+            }
+        }
+        return {keys.begin(), keys.end()};
+    }
+    void mark(std::uint64_t turn, Micros now, const std::set<ProxyId>& by) {
+        markTurn = turn;
+        markedAt = now;
+        unanswered.insert(by.begin(), by.end());
+    }
+    void answer(ProxyId proxy) {
+        unanswered.erase(proxy);
+        if (unanswered.empty()) settle();
+    }
+    void settle() {  // an answer moves marked lines into the acknowledged hashes
+        for (const auto& [key, hash] : pending) {
+            acked[key] = hash;
+            if (hash == 0) acked.erase(key);
+        }
+        pending.clear();
+        unanswered.clear();
+    }
+};
+
+// ---- The channel ----
+
+// Answers come in the channel's order, so all that was ordered before an answered turn has left the channel.
+// What may still wait is therefore counted, not guessed, whatever the channel's speed.
+class Channel {
+public:
+    void send(std::uint64_t turn, Micros now, double lines) {
+        sent_.push_back({turn, now, lines});
+        waiting_ += lines;
+    }
+    void reached(std::uint64_t turn) {
+        while (!sent_.empty() && sent_.front().turn < turn) drop();
+    }
+    // Proxies that never answer: a channel at this pace has still sent so much.
+    void drain(Micros now, double linesPerS) {
+        while (!sent_.empty() && static_cast<double>(now - sent_.front().at) / kSecond * linesPerS > waiting_)
+            drop();
+    }
+    [[nodiscard]] double waiting() const { return waiting_; }
+
+private:
+    struct Sent {
+        std::uint64_t turn = 0;
+        Micros at = 0;
+        double lines = 0;
+    };
+    void drop() {
+        waiting_ -= sent_.front().lines;
+        sent_.pop_front();
+    }
+    std::deque<Sent> sent_;
+    double waiting_ = 0;
+};
+
+// ---- Sums of tries ----
+
+// Fading if asked to. A failed try counts as an answer after `failedTime`.
+struct Tally {
+    double tries = 0, failed = 0, time = 0, seconds = 0;
+    Micros at = 0;
+    void fade(Micros now, double halfLifeS) {
+        const double keep = std::exp2(-static_cast<double>(now - at) / (halfLifeS * kSecond));
+        tries *= keep;
+        failed *= keep;
+        time *= keep;
+        at = now;
+    }
+    void add(const ServerSums& r, double failedTime) {
+        const std::uint32_t bad = std::min(r.failed, r.tries);
+        tries += r.tries;
+        failed += bad;
+        time += static_cast<double>(r.meanTime) * (r.tries - bad) + bad * failedTime;
+        seconds += static_cast<double>(r.period) / kSecond;
+    }
+    void add(const Tally& t) {
+        tries += t.tries;
+        failed += t.failed;
+        time += t.time;
+    }
+    [[nodiscard]] double ratio() const { return tries > 0 ? failed / tries : 0; }
+    [[nodiscard]] double mean() const { return tries > 0 ? time / tries : 0; }
+};
+
+// A server, or the way between two zones, as its tries show it.
+enum class Fit { ok, ejected, trial };
+struct Health {
+    Fit fit = Fit::ok;
+    Micros until = 0, backoff = 0, countFrom = 0;
+    Tally seen;
+};
+
+// ---- Sites with slices ----
+
+struct Slice {
+    std::set<ServerId> lines;
+    Micros freeAt = 0;
+};
+
+}  // namespace marldale
