--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,7 +25,8 @@
 constexpr double kBacklogShare = 0.5;         // of the allowed backlog we fill this much
 constexpr double kSlowChannel = 8;            // the channel may run this many times slower than told
 constexpr double kUrgentCap = 1.6;            // what the rules demand may fill this much more
-constexpr double kDearCost = 0.1;             // seconds of channel for all tables, from which lines are dear
+constexpr double kColumnCost = 0.1;  // seconds of channel for all tables, from which a fleet is dealt
+constexpr double kDearCost = 0.35;   // and from which lines are dear
 constexpr double kColumnLeast = 8;            // servers of a zone that a column keeps at least
 constexpr double kUneven = 1.15;              // load against capacity of a column that calls for a server
 constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
@@ -646,7 +647,9 @@
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
         double& mine = demands.rates[{d.proxy, d.klass}];
         const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
-        mine += (mine > 0 ? kDemandGain : 1) * (rate - mine);
+        // A late sum speaks for all the periods that it covers.
+        const double gain = kDemandGain * static_cast<double>(cycle) / static_cast<double>(set.reportEvery);
+        mine += (mine > 0 ? std::min(1.0, gain) : 1) * (rate - mine);
     }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out, lest
     // the same jam be answered over and over.
@@ -808,7 +811,7 @@
     [[nodiscard]] std::size_t columnsWanted() const {
         const double zone = static_cast<double>(fleet.size()) / std::max(1U, set.zones);
         const double most = std::max(1.0, zone / kColumnLeast);
-        return static_cast<std::size_t>(std::clamp(std::round(tableCost(zone) / kDearCost), 1.0, most));
+        return static_cast<std::size_t>(std::clamp(std::round(tableCost(zone) / kColumnCost), 1.0, most));
     }
     // New servers go where least is; then at most one server a zone moves, from the column with most to spare
     // to the one most strained: a moved line costs far less than a moved proxy.
