--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,12 +25,12 @@
 constexpr double kBacklogShare = 0.5;         // of the allowed backlog we fill this much
 constexpr double kSlowChannel = 8;            // the channel may run this many times slower than told
 constexpr double kUrgentCap = 1.6;            // what the rules demand may fill this much more
-constexpr double kColumnCost = 0.1;  // seconds of channel for all tables, from which a fleet is dealt
-constexpr double kDearCost = 0.35;   // and from which lines are dear
-constexpr double kColumnLeast = 8;            // servers of a zone that a column keeps at least
-constexpr double kUneven = 1.15;              // load against capacity of a column that calls for a server
-constexpr Micros kSlotLeast = 200 * kMs;      // least time between two rounds of messages
-constexpr double kRampFrom = 0.25;            // weight of a server that has just started
+constexpr double kColumnCost = 0.1;       // seconds of channel for all tables, from which a fleet is dealt
+constexpr double kDearCost = 0.35;        // and from which lines are dear
+constexpr double kColumnLeast = 8;        // servers of a zone that a column keeps at least
+constexpr double kUneven = 1.15;          // load against capacity of a column that calls for a server
+constexpr Micros kSlotLeast = 200 * kMs;  // least time between two rounds of messages
+constexpr double kRampFrom = 0.25;        // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // part of the calm picture that lets cold ones in
 constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
@@ -223,7 +223,7 @@
                                      static_cast<double>(set.proxies) / std::max(1U, set.planners));
         return mine * static_cast<double>(groups.size()) * (lines + set.envelopeLines) / set.pushRate;
     }
-    [[nodiscard]] bool dear() const { return tableCost(tableLines()) > kDearCost; }
+    bool dear = false;  // decided with the columns: a fleet that grows does not change its ways under load
     void release(ProxyId id, TableId table) {
         const auto at = tables.find(table);
         if (at == tables.end()) return;
@@ -247,7 +247,7 @@
     void bindFresh(const std::set<ProxyId>& ids, const Place& place, bool joining) {
         const auto at = mains.find(place);
         const bool alone = at == mains.end() || tables.at(at->second).bound.empty();
-        if (!alone && dear() && joining) {
+        if (!alone && dear && joining) {
             for (const ProxyId id : ids) bind(id, at->second);
             return;
         }
@@ -375,11 +375,14 @@
 
     // ======== 5. Slow start ========
     [[nodiscard]] double ramp(const Server& s) const {
+        return warmth(s) * (warm(s) ? 1 : coldOpen ? answered : 0);
+    }
+    [[nodiscard]] double warmth(const Server& s) const {
         if (warm(s) || set.warmUp <= 0) return 1;
         const double from = std::min(kRampFrom, set.coldShare);
         const Micros steps = age(s) / kRampStep;
         const auto step = static_cast<double>(steps * kRampStep);
-        return (from + (1 - from) * step / static_cast<double>(set.warmUp)) * (coldOpen ? answered : 0);
+        return from + (1 - from) * step / static_cast<double>(set.warmUp);
     }
     // In a jam a weight says little: failed tries come again, and proxies that avoid the servers that failed
     // them bring everything to the cold ones (incident i6bbaa1: half a fleet came back at once and was pushed
@@ -395,7 +398,7 @@
         for (const auto& [key, h] : healths) all.add(h.seen);
         double weight = 0;
         for (const auto& [id, s] : fleet) {
-            if (s.ready() && warm(s)) weight += s.weight() * shiftOf(id) * health(s.entry.zone, id);
+            if (s.ready()) weight += s.weight() * warmth(s) * shiftOf(id) * health(s.entry.zone, id);
         }
         calmWeight = std::max(calmWeight, weight);
         if (all.tries >= kFewTries && calmWeight > 0) {
@@ -581,7 +584,7 @@
     // A share of the other zones' lines. Where lines are dear, whole lines, as many as the excess needs, so
     // that connections stay few too.
     [[nodiscard]] double spillTo(const Server& s, ZoneId from, double before) const {
-        if (!dear()) return spillOf(from);
+        if (!dear) return spillOf(from);
         const double mean = static_cast<double>(fleet.size()) / set.zones / columns.members.size();
         const double offset = std::floor(mean * from / set.zones);  // zones begin at different servers
         const double lines = mean * valueIn(flows, std::pair(from, s.entry.zone), 0);
@@ -600,7 +603,7 @@
         }
         for (ZoneId z = 0; z < set.zones; ++z) {
             const bool troubled = lost[z] > kLostMost * whole[z];
-            dear() ? flow(z, way, troubled) : spill(z, own[z], troubled);
+            dear ? flow(z, way, troubled) : spill(z, own[z], troubled);
         }
     }
     void spill(ZoneId z, const Tally& own, bool troubled) {
@@ -816,7 +819,12 @@
     // New servers go where least is; then at most one server a zone moves, from the column with most to spare
     // to the one most strained: a moved line costs far less than a moved proxy.
     void deal() {
-        if (columns.members.empty() && !fleet.empty()) columns.members.resize(columnsWanted());
+        if (columns.members.empty() && !fleet.empty()) {
+            const std::size_t wanted = columnsWanted();
+            columns.members.resize(wanted);
+            const std::size_t lines = 1 + fleet.size() / wanted + set.classes.size();
+            dear = tableCost(static_cast<double>(lines)) > kDearCost;
+        }
         columns.powers.clear();
         for (auto& [id, s] : fleet) {
             s.base = s.ready() ? ramp(s) * shiftOf(id) * leanOf(s.entry.zone) : 0;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -255,6 +255,21 @@
     EXPECT_EQ(seen.size(), static_cast<std::size_t>(kServers));
 }
 
+// Found by incident i4e1fe9: past a mark the other zone's lines left every table in the middle of a surge.
+TEST(Scale, AFleetThatGrowsDoesNotChangeItsWaysUnderLoad) {
+    Settings s = bigSettings();
+    s.proxies = 36;
+    s.planners = 1;
+    Rig rig(s);
+    rig.list(bigList(ready, 0, 30));
+    rig.turn(bigJoin(36));
+    rig.run(3 * kSecond);
+    ASSERT_GT(rig.weight(0, 1), 0) << "the other zone's lines";
+    rig.list(bigList(ready, 30, 90, rig.now), ListNewsKind::delta);
+    rig.run(2 * kSecond);
+    EXPECT_GT(rig.weight(0, 1), 0);
+}
+
 // Where the intake is full, each window holds a part of the servers; taken for the whole, a cut is far too
 // deep.
 TEST(Scale, ACutIsJudgedByAllServersWhereSumsComeLate) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -191,7 +191,8 @@
 std::string plainSettings() {
     return "balancers=2\ncategories.count=1\ncategories.0.aimUs=600000\ncategories.0.idempotency=dedup\n"
            "categories.0.group=cell\ncategories.0.onlyZones=0,2\nextra.admission=rate\nextra.backlog=5500.0\n"
-           "extra.pushRate=5500.0\nextra.reportsPerS=400.0\nextra.writers=true\nfailureDomains=a,b,c\nlocality=1\nme=1\n"
+           "extra.pushRate=5500.0\nextra.reportsPerS=400.0\nextra.writers=true\nfailureDomains=a,b,"
+           "c\nlocality=1\nme=1\n"
            "membershipMode=on_request\nrules.coldShare=0.29\nrules.warmUpUs=18000000\nunknown.key=whatever\n";
 }
 
