--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -132,13 +132,13 @@
     }
 }
 
-// Four failed tries of four are chance somewhere among hundreds where a third of all tries is lost.
+// Five failed tries of five are chance somewhere among hundreds where two fifths of all tries are lost.
 TEST(Scale, AFewLostTriesAmongHundredsEjectNobody) {
     Rig rig = boundRig();
     std::vector<Event> sums;
     for (const ListEntry& e : bigList()) {
-        const std::uint32_t failed = e.server % 50 == 0 ? 4 : 1;  // of four
-        sums.push_back(ServerSums{e.server, e.zone, 4, failed, kSecond, 150 * kMs, {}});
+        const std::uint32_t failed = e.server % 50 == 0 ? 5 : 2;  // of five
+        sums.push_back(ServerSums{e.server, e.zone, 5, failed, kSecond, 150 * kMs, {}});
     }
     rig.turn(sums);
     rig.run(kSecond);
