--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -77,8 +77,7 @@
                  kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kLostMost = 0.1;    // of a zone's weight ejected: it needs the others
-constexpr double kSpillStep = 0.05,
-                 kSpillGain = 3;    // a tick, where lines are dear
+constexpr double kSpillStep = 0.05, kSpillGain = 3;  // of flows, a tick
 constexpr double kFlowBack = 0.02;  // of a step: how fast flows recede where nothing is known against them
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
@@ -154,7 +153,9 @@
         }
         if (c.empty()) lastResort(c, g, true);
         if (c.empty()) lastResort(c, g, false);
-        addLevels(c, g);
+        for (std::size_t k = 0; k < levels.size(); ++k) {
+            if (g.classes == 0 || ((g.classes >> k) & 1U) != 0) c[kLevelKey + k] = levels[k];
+        }
         return c;
     }
 
@@ -213,10 +214,12 @@
         return lastTable;
     }
     // At most: the bind, the lines and the levels of one table.
-    [[nodiscard]] double tableLines() const {
-        const std::size_t servers = columns.members.empty() ? fleet.size() : columns.members.front().size();
+    [[nodiscard]] double tableLines(std::size_t servers) const {
         return 1 + static_cast<double>(servers + set.classes.size());
     }
+    [[nodiscard]] double tableLines() const {
+        return tableLines(columns.members.empty() ? fleet.size() : columns.members.front().size());
+    }
     // Seconds of channel that it takes to send every proxy its tables anew.
     [[nodiscard]] double tableCost(double lines) const {
         const double mine = std::max(static_cast<double>(proxies.size()),
@@ -261,18 +264,19 @@
         }
         for (const ProxyId id : ids) bind(id, fresh);
     }
-    [[nodiscard]] std::set<ZoneId> warmZones(const Group& g) const {
-        std::set<ZoneId> open;
+    std::vector<std::set<ZoneId>> open;  // by group: zones with a warm server, worked out once a turn
+    void findOpen() {
+        open.assign(groups.size(), {});
         for (const auto& [id, s] : fleet) {
-            if (s.ready() && warm(s) && g.opens(s.entry.zone)) open.insert(s.entry.zone);
+            for (std::size_t g = 0; g < groups.size(); ++g) {
+                if (s.ready() && warm(s) && groups[g].opens(s.entry.zone)) open[g].insert(s.entry.zone);
+            }
         }
-        return open;
     }
     // Where a group's requests go: the proxy's own zone if it has an open warm server, else another zone.
-    [[nodiscard]] static ZoneId homeZone(ProxyId id, ZoneId zone, const Group& g,
-                                         const std::set<ZoneId>& open) {
-        if (open.empty() || open.count(zone) || g.ownZoneOnly) return zone;
-        return *std::next(open.begin(), static_cast<std::ptrdiff_t>(id % open.size()));
+    [[nodiscard]] ZoneId homeZone(ProxyId id, ZoneId zone, std::size_t g) const {
+        if (open[g].empty() || open[g].count(zone) || groups[g].ownZoneOnly) return zone;
+        return *std::next(open[g].begin(), static_cast<std::ptrdiff_t>(id % open[g].size()));
     }
 
     void on(const Acknowledged& a) {
@@ -387,12 +391,12 @@
     // In a jam a weight says little: failed tries come again, and proxies that avoid the servers that failed
     // them bring everything to the cold ones (incident i6bbaa1: half a fleet came back at once and was pushed
     // over). So a cold server's ramp shrinks with the tries beyond what the fleet has carried and with the
-    // weight that the warm ones have lost, and it takes nothing far below the calm picture, nor before a
-    // planner that has just started can tell.
+    // weight that the fleet has lost, and it takes nothing far below the calm picture, nor before a planner
+    // that has just started can tell.
     double answered = 0;
     bool coldOpen = false;
     double carried = 0;     // the most answered tries that the fading sums have held
-    double calmWeight = 0;  // the most weight that warm, healthy servers have had
+    double calmWeight = 0;  // the most weight that healthy servers have had, cold ones by their warmth
     void noteAnswered() {
         Tally all;
         for (const auto& [key, h] : healths) all.add(h.seen);
@@ -466,8 +470,7 @@
         paces.erase(id);
         shifts.erase(id);
     }
-    // One step of a health machine: eject on proof, come back by a trickle, back off if that fails too. True
-    // if it ejects now.
+    // One step of a health machine: eject on proof, come back by a trickle. True if it ejects now.
     bool advance(Health& h, double proof, double usual, bool mayEject) {
         if (h.fit == Fit::ejected) {
             if (now < h.until) return false;
@@ -571,8 +574,8 @@
     // A zone's own servers carry its requests while they have slack. The exception: where they are proven
     // hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
     struct Spill {
-        double share = -1;  // not set yet
-        double base = 0;    // the best answer time that its servers have shown
+        double share = 1;
+        double base = 0;  // the best answer time that its servers have shown
         Micros calmSince = 0;
     };
     std::map<ZoneId, Spill> spills;
@@ -607,7 +610,7 @@
         }
     }
     void spill(ZoneId z, const Tally& own, bool troubled) {
-        Spill& s = spills.try_emplace(z, Spill{1, 0, 0}).first->second;
+        Spill& s = spills[z];
         const double time = own.mean();
         if (own.tries >= kFewTries && time > 0) s.base = s.base > 0 ? std::min(s.base, time) : time;
         const bool queueing = time > kQueueing * s.base;
@@ -727,17 +730,20 @@
         }
         return keep;
     }
-    void addLevels(Content& c, const Group& g) const {
+    // By class; the same in every table, so worked out once a turn.
+    std::vector<Entry> levels;
+    [[nodiscard]] std::vector<Entry> levelsNow() const {
+        std::vector<Entry> out;
         const std::vector<double> keep = shares();
         for (std::size_t k = 0; k < set.classes.size(); ++k) {
-            if (g.classes != 0 && ((g.classes >> k) & 1U) == 0) continue;
             double level = kUnlimited;
             if (keep[k] < 1 && set.admission == Admission::share) level = stepped(keep[k]);
             if (keep[k] < 1 && set.admission == Admission::rate)
                 level = std::min(kUnlimited, stepped(evenRate(demands.of(k), keep[k])));
             const auto mode = static_cast<std::uint8_t>(overloaded ? 0 : set.defaultRetry);
-            c[kLevelKey + k] = {static_cast<float>(level), mode};
+            out.push_back({static_cast<float>(level), mode});
         }
+        return out;
     }
 
     // ======== 8. Joins and restart ========
@@ -776,8 +782,6 @@
         std::vector<ProxyId> order(joined.begin(), joined.end());
         std::stable_sort(order.begin(), order.end(),
                          [&](ProxyId a, ProxyId b) { return proxies.at(a).rate > proxies.at(b).rate; });
-        std::vector<std::set<ZoneId>> open;
-        for (const Group& g : groups) open.push_back(warmZones(g));
         std::map<Place, std::set<ProxyId>> fresh;
         const double each = static_cast<double>(groups.size()) * tableLines() + set.envelopeLines + 1;
         double left = room(false);
@@ -788,18 +792,16 @@
             p.column = columns.leastStrained(p.zone);
             columns.loads[{p.zone, p.column}] += p.rate;
             for (std::size_t g = 0; g < groups.size(); ++g) {
-                fresh[{homeZone(id, p.zone, groups[g], open[g]), g, p.column}].insert(id);
+                fresh[{homeZone(id, p.zone, g), g, p.column}].insert(id);
             }
             joined.erase(id);
         }
         for (const auto& [place, ids] : fresh) bindFresh(ids, place, true);
     }
     void rebind() {
-        std::vector<std::set<ZoneId>> open;
-        for (const Group& g : groups) open.push_back(warmZones(g));
         for (auto& [id, p] : proxies) {
             for (std::size_t g = 0; g < p.tables.size(); ++g) {
-                const Place home = {homeZone(id, p.zone, groups[g], open[g]), g, p.column};
+                const Place home = {homeZone(id, p.zone, g), g, p.column};
                 if (tables.at(p.tables[g]).zone == std::get<0>(home) || !mayWrite({id}, tableLines(), true))
                     continue;
                 mains.count(home) ? bind(id, mains.at(home)) : bindFresh({id}, home, true);
@@ -820,10 +822,8 @@
     // to the one most strained: a moved line costs far less than a moved proxy.
     void deal() {
         if (columns.members.empty() && !fleet.empty()) {
-            const std::size_t wanted = columnsWanted();
-            columns.members.resize(wanted);
-            const std::size_t lines = 1 + fleet.size() / wanted + set.classes.size();
-            dear = tableCost(static_cast<double>(lines)) > kDearCost;
+            columns.members.resize(columnsWanted());
+            dear = tableCost(tableLines(fleet.size() / columns.members.size())) > kDearCost;
         }
         columns.powers.clear();
         for (auto& [id, s] : fleet) {
@@ -919,9 +919,10 @@
     // ======== The turn ========
     Micros nextTick = 0;
 
-    bool due = true;  // something came that may call for orders; else they wait
-                      // for the tick
+    bool due = true;  // something came that may call for orders; else they wait for the tick
     void runTables() {
+        levels = levelsNow();
+        findOpen();
         deal();
         bindJoined();
         rebind();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -14,6 +14,15 @@
     rig.run(400 * kMs);
 }
 
+// All servers answer but server 2, which fails every try; the ejection has time to go out.
+Rig rigWithServer2Failing() {
+    Rig rig = settledRig();
+    rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
+    rig.sums({2}, 10, 10, 0);
+    rig.run(600 * kMs);
+    return rig;
+}
+
 // ---- Fleet view, table store and push ----
 
 TEST(Push, EveryProxyIsBoundToItsZonesTableWithLinesFirst) {
@@ -225,10 +234,7 @@
 // Found by incident i4aa4a7: servers that had vanished kept the trickle of an ejected one on top of their
 // ramp.
 TEST(SlowStart, ARestartedServerIsNotHeldToWhatItsFormerProcessDid) {
-    Rig rig = settledRig();
-    rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
-    rig.sums({2}, 10, 10, 0);
-    rig.run(600 * kMs);
+    Rig rig = rigWithServer2Failing();
     ASSERT_FLOAT_EQ(rig.weight(0, 2), 0);
     rig.list({server(2, 0, ready, rig.now)}, ListNewsKind::delta);
     rig.run(600 * kMs);
@@ -279,10 +285,7 @@
 // ---- Health ----
 
 TEST(Health, AServerThatAnswersNothingIsEjectedAndComesBackByATrickle) {
-    Rig rig = settledRig();
-    rig.sums({1, 3, 4}, 10, 0, 150 * kMs);
-    rig.sums({2}, 10, 10, 0);
-    rig.run(600 * kMs);
+    Rig rig = rigWithServer2Failing();
     EXPECT_FLOAT_EQ(rig.weight(0, 2), 0);
     rig.run(5 * kSecond);
     EXPECT_GT(rig.weight(0, 2), 0);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -63,6 +63,17 @@
 std::size_t boundCount(const Rig& rig) { return rig.bound.size(); }
 const std::map<ServerId, float>& tableFor(const Rig& rig, ProxyId p) { return rig.tables.at(rig.tableOf(p)); }
 
+std::set<ServerId> serversNamed(const Rig& rig) {  // in any proxy's table
+    std::set<ServerId> seen;
+    for (ProxyId p = 0; p < kProxies; ++p) {
+        for (const auto& [id, weight] : tableFor(rig, p)) seen.insert(id);
+    }
+    return seen;
+}
+void expectOwnZoneOnly(const Rig& rig, ProxyId p) {
+    for (const auto& [id, weight] : tableFor(rig, p)) EXPECT_EQ(zoneOf(id), p % 2);
+}
+
 // Found by the first score at full size: a first bind of all proxies was several times the backlog.
 TEST(Scale, HundredsThatJoinInOneTurnNeverOverfillTheBacklog) {
     Settings s = bigSettings();
@@ -103,18 +114,14 @@
         used.insert(rig.tableOf(p));
         EXPECT_GE(tableFor(rig, p).size(), 4U);
         EXPECT_LE(tableFor(rig, p).size(), kServers / 8U);
-        for (const auto& [id, weight] : tableFor(rig, p)) EXPECT_EQ(zoneOf(id), p % 2);
+        expectOwnZoneOnly(rig, p);
     }
     EXPECT_LT(used.size(), kProxies / 2U);
 }
 
 TEST(Scale, EveryServerStandsInSomeTable) {
     const Rig rig = boundRig();
-    std::set<ServerId> seen;
-    for (ProxyId p = 0; p < kProxies; ++p) {
-        for (const auto& [id, weight] : tableFor(rig, p)) seen.insert(id);
-    }
-    EXPECT_EQ(seen.size(), static_cast<std::size_t>(kServers));
+    EXPECT_EQ(serversNamed(rig).size(), static_cast<std::size_t>(kServers));
 }
 
 // One unfit server used to bring every zone's lines back into every table.
@@ -128,7 +135,7 @@
     rig.run(2 * kSecond);
     for (ProxyId p = 0; p < kProxies; ++p) {
         EXPECT_FALSE(tableFor(rig, p).count(7));
-        for (const auto& [id, weight] : tableFor(rig, p)) EXPECT_EQ(zoneOf(id), p % 2);
+        expectOwnZoneOnly(rig, p);
     }
 }
 
@@ -142,11 +149,7 @@
     }
     rig.turn(sums);
     rig.run(kSecond);
-    std::set<ServerId> seen;
-    for (ProxyId p = 0; p < kProxies; ++p) {
-        for (const auto& [id, weight] : tableFor(rig, p)) seen.insert(id);
-    }
-    EXPECT_EQ(seen.size(), static_cast<std::size_t>(kServers));
+    EXPECT_EQ(serversNamed(rig).size(), static_cast<std::size_t>(kServers));
 }
 
 TEST(Scale, AHotZoneTakesWholeLinesOfAZoneThatAnswersFaster) {
@@ -247,12 +250,10 @@
         rig.turn(sums);
         rig.run(kSecond);
     }
-    std::set<ServerId> seen;
     for (ProxyId p = 0; p < kProxies; ++p) {
         EXPECT_LT(tableFor(rig, p).size(), kServers / 2U);
-        for (const auto& [id, weight] : tableFor(rig, p)) seen.insert(id);
     }
-    EXPECT_EQ(seen.size(), static_cast<std::size_t>(kServers));
+    EXPECT_EQ(serversNamed(rig).size(), static_cast<std::size_t>(kServers));
 }
 
 // Found by incident i4e1fe9: past a mark the other zone's lines left every table in the middle of a surge.
