--- /dev/null
+++ b/src/program/daemon.cpp
@@ -0,0 +1,99 @@
+#include "program/daemon.h"
+
+#include <csignal>
+
+namespace marldale::program {
+namespace {
+
+constexpr transport::Millis kFlushEvery{1000};
+
+transport::Address addressOf(const std::string& text, const char* what) {
+    const auto address = transport::parseAddress(text);
+    if (!address) throw std::runtime_error(std::string(what) + " is no address: " + text.substr(0, 60));
+    return *address;
+}
+
+}  // namespace
+
+const char* name(Phase phase) {
+    switch (phase) {
+        case Phase::starting: return "starting";
+        case Phase::standing: return "standing";
+        case Phase::serving: return "serving";
+        case Phase::stopping: return "stopping";
+        case Phase::ended: return "ended";
+    }
+    return "?";
+}
+
+Daemon::Daemon(protocol::Config config, Log& log)
+    : config_(std::move(config)),
+      log_(log),
+      logger_([&log](const char* topic, const std::string& text) { log.line(topic, text); }),
+      flush_(loop_,
+             [this] {
+                 log_.flush();
+                 flush_.after(kFlushEvery);
+             }),
+      term_(loop_, SIGTERM, [this] { stop("SIGTERM"); }),
+      interrupt_(loop_, SIGINT, [this] { stop("SIGINT"); }) {
+    std::signal(SIGPIPE, SIG_IGN);  // a party that has gone is told by write's error
+    flush_.after(kFlushEvery);
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::run() {
+    enter(Phase::standing);
+    stand();
+    enter(Phase::serving);
+    serve();
+    loop_.run();
+    planner_.reset();  // before the parties that it calls
+    enter(Phase::ended);
+    log_.flush();
+}
+
+void Daemon::enter(Phase phase) {
+    phase_ = phase;
+    log_.line("phase", name(phase));
+}
+
+// What the module's thread asks for is done in the loop's thread.
+routing::PlannerThread::Outlets Daemon::outlets() {
+    routing::PlannerThread::Outlets out;
+    out.call = [this](std::vector<std::string> orders) {
+        loop_.post([this, orders = std::move(orders)]() mutable { calls_->call(std::move(orders)); });
+    };
+    out.probe = [this](ServerId server, std::string endpoint) {
+        loop_.post([this, server, endpoint = std::move(endpoint)] { prober_->probe(server, endpoint); });
+    };
+    out.fetchList = [this] { loop_.post([this] { catalog_->fetchList(); }); };
+    out.startedOver = [this] { loop_.post([this] { news_->startOver(); }); };
+    return out;
+}
+
+void Daemon::stand() {
+    planner_.emplace(config_, outlets(), logger_);
+    const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
+    const transport::Address relay = addressOf(config_.relay, "relay.address");
+    const std::uint64_t seed = config_.settings.seed;
+    calls_.emplace(loop_, relay, seed, [this] { planner_->callEnded(); }, logger_);
+    news_.emplace(loop_, relay, seed + 1, post, logger_);
+    catalog_.emplace(loop_, addressOf(config_.discovery, "discovery"), config_.known.rev, seed + 2, post,
+                     logger_);
+    prober_.emplace(loop_, !config_.settings.loadFields.empty(), post, logger_);
+}
+
+void Daemon::serve() {
+    const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
+    intake_.emplace(loop_, addressOf(config_.listen, "listen"), post, logger_);
+}
+
+void Daemon::stop(const char* signal) {
+    log_.line("phase", std::string(signal) + " has come");
+    enter(Phase::stopping);
+    loop_.stop();
+}
+
+}  // namespace marldale::program
--- /dev/null
+++ b/src/program/daemon.h
@@ -0,0 +1,62 @@
+// The program from start to exit: one object whose phases have names.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "program/log.h"
+#include "protocol/config.h"
+#include "routing/catalog_watch.h"
+#include "routing/intake.h"
+#include "routing/news_watch.h"
+#include "routing/planner_thread.h"
+#include "routing/prober.h"
+#include "routing/relay_calls.h"
+#include "transport/loop.h"
+
+namespace marldale::program {
+
+enum class Phase {
+    starting,  // nothing is open yet
+    standing,  // the module stands with the known list; the parties are dialled
+    serving,   // it listens, and answers that it is alive
+    stopping,  // SIGTERM or SIGINT has come
+    ended,
+};
+
+[[nodiscard]] const char* name(Phase phase);
+
+class Daemon {
+public:
+    Daemon(protocol::Config config, Log& log);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    // Until a signal ends it. Throws std::runtime_error if the address can't be had.
+    void run();
+    [[nodiscard]] Phase phase() const { return phase_; }
+
+private:
+    void enter(Phase phase);
+    void stand();
+    void serve();
+    void stop(const char* signal);
+    [[nodiscard]] routing::PlannerThread::Outlets outlets();
+
+    const protocol::Config config_;
+    Log& log_;
+    const routing::Logger logger_;
+    Phase phase_ = Phase::starting;
+    transport::Loop loop_;
+    transport::Timer flush_;
+    transport::Signal term_, interrupt_;
+    std::optional<routing::RelayCalls> calls_;
+    std::optional<routing::NewsWatch> news_;
+    std::optional<routing::CatalogWatch> catalog_;
+    std::optional<routing::Prober> prober_;
+    std::optional<routing::Intake> intake_;
+    std::optional<routing::PlannerThread> planner_;
+};
+
+}  // namespace marldale::program
--- /dev/null
+++ b/src/protocol/config.cpp
@@ -0,0 +1,118 @@
+#include "protocol/config.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "wire/settings.h"
+
+namespace marldale::protocol {
+namespace {
+
+std::string plain(const Json& value) {
+    std::string out = value.is_string() ? value.get<std::string>() : value.dump();
+    for (char& c : out) {
+        if (c == ' ' || c == ',' || c == '\n') c = '_';
+    }
+    return out;
+}
+
+void flatten(const std::string& path, const Json& value, std::string& out);
+
+void flattenList(const std::string& path, const Json& list, std::string& out) {
+    const auto nested = [](const Json& item) { return item.is_structured(); };
+    if (std::any_of(list.begin(), list.end(), nested)) {
+        out += path + ".count=" + std::to_string(list.size()) + '\n';
+        for (std::size_t i = 0; i < list.size(); ++i) flatten(path + '.' + std::to_string(i), list[i], out);
+        return;
+    }
+    std::string items;
+    for (const Json& item : list) items += (items.empty() ? "" : ",") + plain(item);
+    out += path + '=' + items + '\n';
+}
+
+void flatten(const std::string& path, const Json& value, std::string& out) {
+    if (value.is_array()) return flattenList(path, value, out);
+    if (!value.is_object()) {
+        if (!value.is_null()) out += path + '=' + plain(value) + '\n';  // an absent value has no line
+        return;
+    }
+    for (const auto& [key, item] : value.items()) {
+        flatten(path.empty() ? key : path + '.' + key, item, out);
+    }
+}
+
+std::string required(const Json& object, const char* key) {
+    auto text = textIn(object, key);
+    if (!text || text->empty()) throw BadConfig("the configuration has no " + std::string(key));
+    return std::move(*text);
+}
+
+const Json& part(const Json& object, const char* key) {
+    const auto at = object.find(key);
+    if (at == object.end() || !at->is_object()) {
+        throw BadConfig("the configuration has no " + std::string(key));
+    }
+    return *at;
+}
+
+std::uint64_t seedIn(const Json& object) {
+    const std::string text = required(object, "seed");
+    std::uint64_t out = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        throw BadConfig("the seed is no hexadecimal number of 64 bits");
+    }
+    return out;
+}
+
+std::vector<std::string> texts(const Json& list) {
+    std::vector<std::string> out;
+    for (const Json& item : list) out.push_back(item.is_string() ? item.get<std::string>() : "");
+    return out;
+}
+
+// Names as they came, before the flat form replaces characters in them.
+void readNames(const Json& settings, Config& out) {
+    if (const auto zones = settings.find("failureDomains"); zones != settings.end()) out.zones = texts(*zones);
+    if (const auto kinds = settings.find("flavors"); kinds != settings.end()) out.kinds = texts(*kinds);
+    const auto classes = settings.find("categories");
+    if (classes == settings.end()) return;
+    for (const Json& item : *classes) {
+        out.classes.push_back(item.is_object() ? textIn(item, "name").value_or("") : "");
+    }
+}
+
+}  // namespace
+
+std::string flattenSettings(const Json& settings) {
+    std::string out;
+    flatten("", settings, out);
+    return out;
+}
+
+Config parseConfig(std::string_view text) {
+    const Json object = parseJson(text);
+    if (!object.is_object()) throw BadConfig("the configuration is no JSON object");
+    Config out;
+    out.name = required(object, "name");
+    out.listen = required(object, "listen");
+    out.discovery = required(object, "discovery");
+    out.relay = required(part(object, "relay"), "address");
+    if (const auto limits = object.find("limits"); limits != object.end() && limits->is_object()) {
+        out.sockets = wholeIn<std::uint32_t>(*limits, "sockets", 1U << 20U).value_or(0);
+    }
+    const Json& settings = part(object, "settings");
+    try {
+        out.settings = wire::parseSettings(flattenSettings(settings));
+    } catch (const std::exception& e) {
+        throw BadConfig(e.what());
+    }
+    out.settings.seed = seedIn(object);
+    readNames(settings, out);
+    const auto known = readCatalog(part(object, "known"));
+    if (!known) throw BadConfig("the known list can't be read");
+    out.known = *known;
+    return out;
+}
+
+}  // namespace marldale::protocol
--- /dev/null
+++ b/src/protocol/reports.cpp
@@ -0,0 +1,97 @@
+#include "protocol/reports.h"
+
+#include <charconv>
+#include <limits>
+
+#include "protocol/frames.h"
+#include "protocol/json.h"
+
+namespace marldale::protocol {
+namespace {
+
+constexpr double kCountMost = std::numeric_limits<std::uint32_t>::max();
+constexpr double kSpanMostMs = 3.6e6;  // an hour; no sum covers more
+constexpr std::size_t kLoadValuesMost = 16;
+constexpr double kLoadMost = 1e12;
+
+LoadValues loadIn(const Json& object) {
+    LoadValues out;
+    const auto at = object.find("util");
+    if (at == object.end() || !at->is_object()) return out;
+    for (const auto& [key, value] : at->items()) {
+        const auto number = numberIn(*at, key.c_str(), kLoadMost);
+        if (number && out.size() < kLoadValuesMost) out.emplace(key, *number);
+    }
+    return out;
+}
+
+std::optional<std::uint32_t> countIn(const Json& object, const char* key) {
+    const auto value = numberIn(object, key, kCountMost);
+    if (!value) return std::nullopt;
+    return static_cast<std::uint32_t>(*value);
+}
+
+std::optional<Report> outcomes(const Json& object) {
+    const auto zone = textIn(object, "site");
+    const auto server = textIn(object, "target");
+    const auto tries = countIn(object, "count");
+    const auto failed = countIn(object, "fail");
+    const auto over = millisIn(object, "over", kSpanMostMs);
+    if (!zone || !server || !tries || !failed || !over) return std::nullopt;
+    // Where all tries failed there is no mean.
+    const auto mean = millisIn(object, "mean", kSpanMostMs);
+    if (!mean && *failed < *tries) return std::nullopt;
+    return Outcomes{*zone, *server, *tries, *failed, mean.value_or(0), *over, loadIn(object)};
+}
+
+std::optional<Report> demand(const Json& object) {
+    const auto proxy = wholeIn<std::uint16_t>(object, "id", std::numeric_limits<std::uint16_t>::max());
+    const auto klass = textIn(object, "lane");
+    const auto came = countIn(object, "count");
+    const auto failed = countIn(object, "fail");
+    const auto over = millisIn(object, "over", kSpanMostMs);
+    if (!proxy || !klass || !came || !failed || !over) return std::nullopt;
+    return Demand{*proxy, *klass, *came, *failed, *over};
+}
+
+}  // namespace
+
+std::optional<Report> parseReport(std::string_view text) {
+    const Json object = parseJson(text);
+    if (!object.is_object()) return std::nullopt;
+    const auto type = textIn(object, "type");
+    if (!type) return std::nullopt;
+    if (*type == "outcomes") return outcomes(object);
+    if (*type == "demand") return demand(object);
+    if (*type == "probe") return AliveProbe{};
+    if (*type == "agent") {
+        const auto zone = textIn(object, "site");
+        if (!zone) return std::nullopt;
+        return CollectorHello{*zone};
+    }
+    return UnknownReport{*type};
+}
+
+std::string aliveAnswer() { return frame(R"({"type":"alive"})"); }
+
+LoadValues parseLoadLine(std::string_view text) {
+    LoadValues out;
+    constexpr std::string_view kHead = "TEXT ";
+    if (!text.starts_with(kHead)) return out;
+    text.remove_prefix(kHead.size());
+    while (!text.empty() && out.size() < kLoadValuesMost) {
+        const auto comma = text.find(',');
+        std::string_view item = text.substr(0, comma);
+        text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
+        while (item.starts_with(' ')) item.remove_prefix(1);
+        const auto eq = item.find('=');
+        if (eq == std::string_view::npos || eq == 0) continue;
+        double value = 0;
+        const auto error = std::from_chars(item.data() + eq + 1, item.data() + item.size(), value).ec;
+        if (error != std::errc{} || !(value >= 0) || value > kLoadMost) continue;
+        out.emplace(item.substr(0, eq), value);
+    }
+    return out;
+}
+
+}  // namespace marldale::protocol
--- /dev/null
+++ b/src/protocol/reports.h
@@ -0,0 +1,47 @@
+// Messages at the planner's address: what collectors report, and the probe of whoever asks for us.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace marldale::protocol {
+
+using LoadValues = std::map<std::string, double, std::less<>>;  // by the name of the value
+
+struct CollectorHello {  // `agent`
+    std::string zone;
+};
+struct Outcomes {
+    std::string zone, server;
+    std::uint32_t tries = 0, failed = 0;
+    std::int64_t meanUs = 0, overUs = 0;
+    LoadValues load;
+};
+struct Demand {
+    std::uint16_t proxy = 0;
+    std::string klass;
+    std::uint32_t came = 0, failed = 0;
+    std::int64_t overUs = 0;
+};
+struct AliveProbe {};
+struct UnknownReport {  // of a type that this planner has no use for
+    std::string type;
+};
+
+using Report = std::variant<CollectorHello, Outcomes, Demand, AliveProbe, UnknownReport>;
+
+// Nothing if the text is not one JSON object, or a field that it needs is absent or out of range.
+[[nodiscard]] std::optional<Report> parseReport(std::string_view text);
+
+// `alive`, framed.
+[[nodiscard]] std::string aliveAnswer();
+
+// The line that a server's load page has: `TEXT inflight=7, queue=2, util=0.61`. What can't be read is
+// left out.
+[[nodiscard]] LoadValues parseLoadLine(std::string_view text);
+
+}  // namespace marldale::protocol
--- /dev/null
+++ b/src/routing/limits.h
@@ -0,0 +1,49 @@
+// Every figure that the sockets need, with where it comes from. Decisions have theirs in policy.cpp.
+#pragma once
+
+#include "transport/loop.h"
+
+namespace marldale::routing::limits {
+
+using transport::Millis;
+
+// Dials. On a sound network a connection comes up in under a millisecond; to a machine that is cut off it
+// never does, and the kernel asks again only after a second, so a short limit and a new dial are quicker.
+inline constexpr Millis kDial{300};
+inline constexpr Millis kRedialLeast{20};  // doubled with every failure,
+inline constexpr Millis kRedialMost{400};  // so that a party that is back is found again at once
+
+// Calls. PROTOCOL: an answer arrives within 50 ms, or never; the rest is for a core that others use too.
+inline constexpr Millis kAnswer{250};
+inline constexpr Millis kBusyAgain{50};
+inline constexpr std::size_t kAnswerLineMost = 256;
+inline constexpr std::size_t kCallBuffer = 128 * 1024;  // two calls of 60,000 bytes of orders
+
+// News. PROTOCOL: a sign of life comes every second.
+inline constexpr Millis kNewsSilence{2200};
+inline constexpr Millis kNewsAnswer{400};
+inline constexpr std::size_t kNewsLineMost = 1024;
+
+// Discovery. PROTOCOL: a watch has an empty line every 2 s, and what it has to tell counts as told after 6 s.
+inline constexpr Millis kWatchSilence{2700};
+inline constexpr Millis kListAnswer{500};
+inline constexpr std::size_t kListMost = 8U << 20U;  // a whole list of tens of thousands of servers
+
+// Probes. The answer of a server that is well takes milliseconds.
+inline constexpr Millis kProbe{1000};
+inline constexpr std::size_t kProbesMost = 64;
+inline constexpr std::size_t kProbeBodyMost = 4096;
+
+// Connections at our address. Strangers who never say who they are must not use up the descriptors or the
+// memory: they hold little, not for long, and the oldest goes when there are too many.
+inline constexpr std::size_t kStrangersMost = 256;
+inline constexpr std::size_t kStrangerFrame = 4096;
+inline constexpr Millis kStrangerStays{10000};
+inline constexpr std::size_t kCollectorsMost = 64;  // a zone has one; more are left over from breaks
+inline constexpr std::size_t kReplyBuffer = 4096;
+
+// What waits for the module's thread while a call is out.
+inline constexpr std::size_t kReportsQueued = 20000;
+inline constexpr std::size_t kEventsQueued = 40000;
+
+}  // namespace marldale::routing::limits
--- /dev/null
+++ b/src/routing/planner_thread.cpp
@@ -0,0 +1,97 @@
+#include "routing/planner_thread.h"
+
+#include "routing/limits.h"
+
+namespace marldale::routing {
+namespace {
+
+// The simulator's batches come at most this often; so do turns, and what comes in pieces is seen together.
+constexpr std::chrono::microseconds kTurnsApart{2000};
+
+}  // namespace
+
+PlannerThread::PlannerThread(const protocol::Config& config, Outlets outlets, Logger log)
+    : settings_(config.settings),
+      outlets_(std::move(outlets)),
+      log_(std::move(log)),
+      translator_(config, log_),
+      planner_(settings_),
+      queue_(limits::kEventsQueued, limits::kReportsQueued) {
+    std::vector<Event> events;
+    translator_.events(ListInput{config.known, true}, events);
+    turn(SteadyTime::clock::now(), events);
+    thread_ = std::thread([this] { run(); });
+}
+
+PlannerThread::~PlannerThread() {
+    queue_.close();
+    thread_.join();
+}
+
+bool PlannerThread::post(Input input) {
+    const bool isReport =
+        std::holds_alternative<protocol::Report>(input) || std::holds_alternative<ProbeEnded>(input);
+    return queue_.push(std::move(input), isReport);
+}
+
+void PlannerThread::run() {
+    SteadyTime earliest{};
+    for (;;) {
+        std::optional<SteadyTime> due;
+        if (!timers_.empty()) due = timers_.top().at;
+        const auto inputs = queue_.take(earliest, due);
+        if (!inputs) return;
+        const SteadyTime now = SteadyTime::clock::now();
+        earliest = now + kTurnsApart;
+        std::vector<Event> events;
+        for (const Input& input : *inputs) translator_.events(input, events);
+        while (!timers_.empty() && timers_.top().at <= now) {
+            events.emplace_back(TimerDue{timers_.top().tag});
+            timers_.pop();
+        }
+        if (!events.empty()) turn(now, events);
+    }
+}
+
+void PlannerThread::turn(SteadyTime now, const std::vector<Event>& events) {
+    try {
+        std::vector<Action> actions = planner_.turn(clock_.at(now), events);
+        carryOut(now, actions);
+    } catch (const std::exception& e) {
+        startOver(e.what());
+    }
+}
+
+// A module that has thrown can't be trusted with what it remembers. It begins anew, as after a restart, and
+// the proxies go on with what they hold until they are told to it again.
+void PlannerThread::startOver(const std::string& why) {
+    log_("module", "the module failed and starts over: " + why);
+    planner_ = Planner(settings_);
+    timers_ = {};
+    const SteadyTime now = SteadyTime::clock::now();
+    std::vector<Action> actions = planner_.turn(clock_.at(now), {translator_.wholeList()});
+    carryOut(now, actions);
+    outlets_.startedOver();
+}
+
+void PlannerThread::carryOut(SteadyTime now, std::vector<Action>& actions) {
+    std::vector<std::string> orders;
+    for (const Action& action : actions) {
+        if (auto order = translator_.order(action)) {
+            orders.push_back(std::move(*order));
+        } else if (const auto* timer = std::get_if<ArmTimer>(&action)) {
+            timers_.push({now + std::chrono::microseconds(timer->delay), timer->tag});
+        } else if (const auto* probe = std::get_if<Probe>(&action)) {
+            outlets_.probe(probe->server, translator_.endpoint(probe->server));
+        } else if (std::holds_alternative<FetchList>(action)) {
+            outlets_.fetchList();
+        } else if (const auto* line = std::get_if<Log>(&action)) {
+            log_("module", line->text);
+        }
+    }
+    if (orders.empty()) return;
+    queue_.hold();
+    outlets_.call(std::move(orders));
+}
+
+}  // namespace marldale::routing
--- /dev/null
+++ b/src/routing/planner_thread.h
@@ -0,0 +1,61 @@
+// The thread that owns the module. One turn is one call to the relay, and no turn starts while a call is out:
+// events gather meanwhile, and none of our orders pile up stale.
+#pragma once
+
+#include <functional>
+#include <queue>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "policy.h"
+#include "routing/clock.h"
+#include "routing/event_queue.h"
+#include "routing/translator.h"
+
+namespace marldale::routing {
+
+class PlannerThread {
+public:
+    // Called in the module's thread; what they start belongs to the sockets' thread.
+    struct Outlets {
+        std::function<void(std::vector<std::string> orders)> call;
+        std::function<void(ServerId, std::string endpoint)> probe;
+        std::function<void()> fetchList;
+        std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
+    };
+
+    // Returns once the module stands with the known list.
+    PlannerThread(const protocol::Config& config, Outlets outlets, Logger log);
+    ~PlannerThread();
+    PlannerThread(const PlannerThread&) = delete;
+    PlannerThread& operator=(const PlannerThread&) = delete;
+
+    // From the sockets' thread. False if there is no room.
+    [[nodiscard]] bool post(Input input);
+    void callEnded() { queue_.release(); }
+
+private:
+    struct Due {
+        SteadyTime at;
+        std::uint64_t tag = 0;
+        bool operator>(const Due& other) const { return at > other.at; }
+    };
+
+    void run();
+    void turn(SteadyTime now, const std::vector<Event>& events);
+    void startOver(const std::string& why);
+    void carryOut(SteadyTime now, std::vector<Action>& actions);
+
+    const Settings settings_;
+    const Outlets outlets_;
+    const Logger log_;
+    const Clock clock_;
+    Translator translator_;
+    Planner planner_;
+    std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
+    EventQueue<Input> queue_;
+    std::thread thread_;
+};
+
+}  // namespace marldale::routing
--- /dev/null
+++ b/src/routing/relay_calls.cpp
@@ -0,0 +1,91 @@
+#include "routing/relay_calls.h"
+
+namespace marldale::routing {
+
+RelayCalls::RelayCalls(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
+                       std::function<void()> done, Logger log)
+    : loop_(loop),
+      relay_(std::move(relay)),
+      done_(std::move(done)),
+      log_(std::move(log)),
+      backoff_(seed),
+      again_(loop, [this] { ready_ ? send() : dial(); }),
+      answer_(loop, [this] { lost("no answer in time"); }),
+      reader_(limits::kAnswerLineMost) {
+    dial();
+}
+
+void RelayCalls::call(std::vector<std::string> orders) {
+    pending_.emplace(std::move(orders));
+    send();
+}
+
+void RelayCalls::dial() {
+    reader_ = protocol::LineReader(limits::kAnswerLineMost);
+    transport::Connection::Handlers handlers;
+    handlers.connected = [this] {
+        ready_ = true;
+        send();
+    };
+    handlers.received = [this](std::string_view bytes) {
+        if (!reader_.feed(bytes, [this](std::string_view line) { return onLine(line); })) {
+            lost("an answer without an end");
+        }
+    };
+    handlers.ended = [this](transport::Ended how) { lost(transport::name(how)); };
+    connection_ = std::make_unique<transport::Connection>(loop_, relay_, limits::kDial, limits::kCallBuffer,
+                                                          std::move(handlers));
+}
+
+void RelayCalls::drop() {
+    ready_ = asked_ = false;
+    answer_.cancel();
+    if (!connection_) return;
+    connection_->close();
+    loop_.bury(std::move(connection_));
+}
+
+// The connection is of no use any more. One that ends while nothing is out was only idle: the relay closes
+// those, and the next call shall find a new one standing.
+void RelayCalls::lost(const std::string& why) {
+    const bool idle = ready_ && !asked_;
+    if (!idle) log_("calls", std::string(asked_ ? "the outcome of a call is unknown: " : "no relay: ") + why);
+    drop();
+    again_.after(idle ? transport::Millis{0} : backoff_.failed());
+}
+
+void RelayCalls::send() {
+    if (!pending_ || !ready_ || asked_) return;
+    asked_ = true;
+    answer_.after(limits::kAnswer);
+    connection_->write(pending_->line());
+}
+
+bool RelayCalls::onLine(std::string_view line) {
+    if (!asked_) {
+        lost("a line that nobody asked for");
+        return false;
+    }
+    asked_ = false;
+    answer_.cancel();
+    const auto answer = protocol::parseAnswer(line, pending_->count());
+    if (std::holds_alternative<protocol::Syntax>(answer)) log_("calls", "the relay answers SYNTAX");
+    if (std::holds_alternative<protocol::Unreadable>(answer)) asked_ = true;
+    settle(pending_->answered(answer));
+    return ready_;
+}
+
+void RelayCalls::settle(const PendingCall::Verdict& verdict) {
+    if (!verdict.dropped.empty()) log_("calls", "an order was not taken and is dropped: " + verdict.dropped);
+    switch (verdict.next) {
+        case PendingCall::Next::sendAgainOnNewConnection: return lost("an answer that can't be read");
+        case PendingCall::Next::waitAndSendAgain: return again_.after(limits::kBusyAgain);
+        case PendingCall::Next::goOn: break;
+    }
+    backoff_.succeeded();
+    if (!pending_->done()) return send();
+    pending_.reset();
+    done_();
+}
+
+}  // namespace marldale::routing
--- /dev/null
+++ b/src/routing/translator.cpp
@@ -0,0 +1,236 @@
+#include "routing/translator.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace marldale::routing {
+namespace {
+
+constexpr std::size_t kServersMost = 100000;  // uids remembered; no fleet lists so many in a planner's life
+
+std::optional<std::size_t> indexOf(const std::vector<std::string>& names, const std::string& name) {
+    const auto at = std::find(names.begin(), names.end(), name);
+    if (at == names.end()) return std::nullopt;
+    return static_cast<std::size_t>(at - names.begin());
+}
+
+// In plain digits: not every reader of orders knows exponents.
+std::string digits(float value) {
+    std::array<char, 64> text{};
+    const auto end =
+        std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed).ptr;
+    return {text.data(), end};
+}
+
+std::string tableName(TableId table) { return table == kAllTables ? "*" : std::to_string(table); }
+
+}  // namespace
+
+Translator::Translator(const protocol::Config& config, Logger log)
+    : log_(std::move(log)),
+      zones_(config.zones),
+      classes_(config.classes),
+      kinds_(config.kinds),
+      loadFields_(config.settings.loadFields),
+      proxies_(config.settings.proxies) {}
+
+void Translator::events(const Input& input, std::vector<Event>& out) {
+    struct Visitor {
+        Translator& self;
+        std::vector<Event>& out;
+        void operator()(const ListInput& i) const { self.list(i, out); }
+        void operator()(const StandingBegins&) const { self.standing_.emplace(); }
+        void operator()(const StandingEnds&) const {
+            if (!self.standing_) return;
+            for (auto at = self.joined_.begin(); at != self.joined_.end();) {
+                if (self.standing_->count(*at)) {
+                    ++at;
+                    continue;
+                }
+                out.emplace_back(ProxyLeft{*at});
+                at = self.joined_.erase(at);
+            }
+            self.standing_.reset();
+        }
+        void operator()(const protocol::News& n) const { self.proxyNews(n, out); }
+        void operator()(const protocol::Report& r) const { self.report(r, out); }
+        void operator()(const ProbeEnded& p) const {
+            out.emplace_back(ProbeResult{p.server, p.outcome, p.roundTrip, self.loadReport(p.load)});
+        }
+    };
+    std::visit(Visitor{*this, out}, input);
+}
+
+std::optional<ServerId> Translator::serverOf(const std::string& uid) const {
+    const auto at = numbers_.find(uid);
+    if (at == numbers_.end()) return std::nullopt;
+    return at->second;
+}
+
+std::optional<ZoneId> Translator::zoneOf(const std::string& name) const {
+    const auto at = indexOf(zones_, name);
+    if (!at) return std::nullopt;
+    return static_cast<ZoneId>(*at);
+}
+
+std::optional<ListEntry> Translator::listEntry(const protocol::CatalogEntry& entry) {
+    const auto known = serverOf(entry.uid);
+    // What is gone needs no zone, and what was never listed can't go.
+    if (entry.state == ServerState::gone) {
+        if (!known) return std::nullopt;
+        servers_[*known].entry.state = ServerState::gone;
+        return servers_[*known].entry;
+    }
+    const auto zone = zoneOf(entry.zone);
+    if (!zone || (!known && servers_.size() >= kServersMost)) {
+        log_("list", "server " + entry.uid + " left out: " + (zone ? "too many servers" : "unknown zone"));
+        return std::nullopt;
+    }
+    ListEntry out;
+    out.server = known ? *known : static_cast<ServerId>(servers_.size());
+    out.kind = static_cast<std::uint8_t>(indexOf(kinds_, entry.kind).value_or(0));
+    out.cell = entry.cell;
+    out.bootTime = entry.bootUs;
+    out.zone = *zone;
+    out.weight = entry.weight;
+    out.state = entry.state;
+    if (!known) {
+        numbers_.emplace(entry.uid, out.server);
+        servers_.push_back({entry.uid, {}, {}});
+    }
+    servers_[out.server].endpoint = entry.endpoint;
+    servers_[out.server].entry = out;
+    return out;
+}
+
+void Translator::list(const ListInput& input, std::vector<Event>& out) {
+    const protocol::CatalogNews& news = input.news;
+    // A list that goes backwards would bring servers back that have gone.
+    if (!input.cached && news.rev <= rev_) {
+        if (news.rev < rev_ || !news.entries.empty()) {
+            log_("list", "version " + std::to_string(news.rev) + " is not after " + std::to_string(rev_) +
+                             ": left out");
+        }
+        return;
+    }
+    rev_ = news.rev;
+    ListNews event{news.rev, ListNewsKind::delta, {}};
+    if (news.whole) event.kind = input.cached ? ListNewsKind::cached : ListNewsKind::full;
+    std::set<ServerId> named;
+    for (const protocol::CatalogEntry& entry : news.entries) {
+        const auto read = listEntry(entry);
+        if (!read) continue;
+        named.insert(read->server);
+        event.entries.push_back(*read);
+    }
+    if (news.whole) {
+        for (Known& server : servers_) {
+            if (!named.count(server.entry.server)) server.entry.state = ServerState::gone;
+        }
+    }
+    out.emplace_back(std::move(event));
+}
+
+ListNews Translator::wholeList() const {
+    ListNews out{rev_, ListNewsKind::cached, {}};
+    for (const Known& server : servers_) out.entries.push_back(server.entry);
+    return out;
+}
+
+LoadReport Translator::loadReport(const protocol::LoadValues& values) const {
+    LoadReport out;
+    if (values.empty()) return out;
+    for (const std::string& field : loadFields_) {
+        const auto at = values.find(field);
+        out.push_back(at == values.end() ? 0.0F : static_cast<float>(at->second));
+    }
+    return out;
+}
+
+void Translator::report(const protocol::Report& report, std::vector<Event>& out) {
+    if (const auto* o = std::get_if<protocol::Outcomes>(&report)) {
+        const auto server = serverOf(o->server);
+        const auto zone = zoneOf(o->zone);
+        if (!server || !zone) {
+            return log_("report", "outcomes left out: unknown " + (server ? "zone " + o->zone
+                                                                          : "server " + o->server));
+        }
+        ServerSums sums{*server, *zone, o->tries, o->failed, o->overUs, o->meanUs, loadReport(o->load)};
+        out.emplace_back(std::move(sums));
+    } else if (const auto* d = std::get_if<protocol::Demand>(&report)) {
+        const auto klass = indexOf(classes_, d->klass);
+        if (!klass || d->proxy >= proxies_) {
+            return log_("report", "demand left out: unknown class " + d->klass + " or proxy " +
+                                      std::to_string(d->proxy));
+        }
+        out.emplace_back(
+            ProxyDemand{d->proxy, static_cast<std::uint16_t>(*klass), d->came, d->failed, d->overUs});
+    }
+}
+
+void Translator::proxyNews(const protocol::News& news, std::vector<Event>& out) {
+    if (const auto* hello = std::get_if<protocol::Hello>(&news)) {
+        const auto zone = zoneOf(hello->zone);
+        if (!zone || hello->proxy >= proxies_) {
+            return log_("news", "proxy " + std::to_string(hello->proxy) + " of zone " + hello->zone +
+                                    " left out: unknown");
+        }
+        joined_.insert(hello->proxy);
+        if (standing_) standing_->insert(hello->proxy);
+        // After a gap this may be a stream that still stands or a new one. It is taken for new: a proxy that
+        // left and came back is bound to none of our tables and would never hear of a change.
+        out.emplace_back(ProxyJoined{hello->proxy, *zone, hello->rate, hello->fresh});
+    } else if (const auto* bye = std::get_if<protocol::Bye>(&news)) {
+        if (standing_) standing_->erase(bye->proxy);
+        if (joined_.erase(bye->proxy) > 0) out.emplace_back(ProxyLeft{bye->proxy});
+    } else if (const auto* ack = std::get_if<protocol::Ack>(&news)) {
+        if (joined_.count(ack->proxy)) out.emplace_back(Acknowledged{ack->proxy, ack->mark, ack->tookUs});
+    }
+}
+
+std::string Translator::classNames(ClassMask classes) const {
+    if (classes == 0) return "*";
+    std::string out;
+    for (std::size_t k = 0; k < classes_.size(); ++k) {
+        if ((classes >> k & 1U) != 0) out += (out.empty() ? "" : "+") + classes_[k];
+    }
+    return out;
+}
+
+struct Translator::OrderWriter {
+    const Translator& self;
+    using Text = std::optional<std::string>;
+    Text operator()(const SetLine& a) const {
+        if (a.server >= self.servers_.size()) return std::nullopt;
+        return "share," + tableName(a.table) + ',' + self.servers_[a.server].uid + ',' + digits(a.weight);
+    }
+    Text operator()(const DropLines& a) const { return "clear," + tableName(a.table); }
+    Text operator()(const Bind& a) const {
+        return "bind," + std::to_string(a.proxy) + ',' + tableName(a.table) + ',' +
+               self.classNames(a.classes);
+    }
+    Text operator()(const Withdraw& a) const {
+        if (a.server >= self.servers_.size()) return std::nullopt;
+        return (a.out ? "withdraw," : "restore,") + self.servers_[a.server].uid;
+    }
+    Text operator()(const SetLevel& a) const {
+        return "admit," + tableName(a.table) + ',' + self.classNames(a.classes) + ',' + digits(a.limit) +
+               ',' + std::to_string(a.retryMode);
+    }
+    Text operator()(const Mark& a) const {
+        return "mark," + std::to_string(a.mark) + (a.everyProxy ? ",1" : ",0");
+    }
+    Text operator()(const auto& /*no order*/) const { return std::nullopt; }
+};
+
+std::optional<std::string> Translator::order(const Action& action) const {
+    return std::visit(OrderWriter{*this}, action);
+}
+
+std::string Translator::endpoint(ServerId server) const {
+    if (server >= servers_.size() || servers_[server].entry.state == ServerState::gone) return {};
+    return servers_[server].endpoint;
+}
+
+}  // namespace marldale::routing
--- /dev/null
+++ b/src/routing/translator.h
@@ -0,0 +1,79 @@
+// Between the names on the sockets and the module's numbers. It belongs to the module's thread.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "policy.h"
+#include "protocol/catalog.h"
+#include "protocol/config.h"
+#include "protocol/relay.h"
+#include "protocol/reports.h"
+#include "routing/clock.h"
+#include "routing/logger.h"
+
+namespace marldale::routing {
+
+struct ListInput {
+    protocol::CatalogNews news;
+    bool cached = false;
+};
+struct StandingBegins {};  // the news starts anew: what stands follows
+struct StandingEnds {};    // who has not been named in it has left
+struct ProbeEnded {
+    ServerId server = 0;
+    ProbeOutcome outcome = ProbeOutcome::other;
+    Micros roundTrip = 0;
+    protocol::LoadValues load;
+};
+
+using Input = std::variant<ListInput, StandingBegins, StandingEnds, protocol::News, protocol::Report, ProbeEnded>;
+
+class Translator {
+public:
+    Translator(const protocol::Config& config, Logger log);
+
+    // Appends the module's events for one input: none, one, or several.
+    void events(const Input& input, std::vector<Event>& out);
+
+    // The order's text; nothing if the action is no order, or names what discovery has not listed.
+    [[nodiscard]] std::optional<std::string> order(const Action& action) const;
+
+    // Where a server can be probed; empty if it is not known or gone.
+    [[nodiscard]] std::string endpoint(ServerId server) const;
+
+    // All servers as last listed, for a module that has to start over.
+    [[nodiscard]] ListNews wholeList() const;
+
+private:
+    struct OrderWriter;
+    struct Known {
+        std::string uid, endpoint;
+        ListEntry entry;
+    };
+
+    void list(const ListInput& input, std::vector<Event>& out);
+    void report(const protocol::Report& report, std::vector<Event>& out);
+    void proxyNews(const protocol::News& news, std::vector<Event>& out);
+    std::optional<ListEntry> listEntry(const protocol::CatalogEntry& entry);
+    [[nodiscard]] std::optional<ServerId> serverOf(const std::string& uid) const;
+    [[nodiscard]] std::optional<ZoneId> zoneOf(const std::string& name) const;
+    [[nodiscard]] LoadReport loadReport(const protocol::LoadValues& values) const;
+    [[nodiscard]] std::string classNames(ClassMask classes) const;
+
+    Logger log_;
+    std::vector<std::string> zones_, classes_, kinds_, loadFields_;
+    std::uint32_t proxies_;
+    std::vector<Known> servers_;  // by number
+    std::unordered_map<std::string, ServerId> numbers_;
+    std::uint64_t rev_ = 0;
+    std::set<ProxyId> joined_;
+    std::optional<std::set<ProxyId>> standing_;  // named so far, while what stands is being told
+};
+
+}  // namespace marldale::routing
