A call of unknown outcome is sent again only where the queue rule allows two copies

Its first copy may still wait in the channel, so the second waits while a proxy might get more messages than its limit, or until a large first copy has drained.

--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -61,8 +61,10 @@
 // What the module's thread asks for is done in the loop's thread.
 routing::PlannerThread::Outlets Daemon::outlets() {
     routing::PlannerThread::Outlets out;
-    out.call = [this](std::vector<std::string> orders) {
-        loop_.post([this, orders = std::move(orders)]() mutable { calls_->call(std::move(orders)); });
+    out.call = [this](std::vector<std::string> orders, double linesAtMost) {
+        loop_.post([this, orders = std::move(orders), linesAtMost]() mutable {
+            calls_->call(std::move(orders), linesAtMost);
+        });
     };
     out.probe = [this](ServerId server, std::string endpoint) {
         loop_.post([this, server, endpoint = std::move(endpoint)] { prober_->probe(server, endpoint); });
@@ -77,7 +79,7 @@
     const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
     const transport::Address relay = addressOf(config_.relay, "relay.address");
     const std::uint64_t seed = config_.settings.seed;
-    calls_.emplace(loop_, relay, seed, [this] { planner_->callEnded(); }, logger_);
+    calls_.emplace(loop_, relay, config_.settings, [this] { planner_->callEnded(); }, logger_);
     news_.emplace(loop_, relay, seed + 1, post, logger_);
     catalog_.emplace(loop_, addressOf(config_.discovery, "discovery"), config_.known.rev, seed + 2, post,
                      logger_);
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -11,11 +11,12 @@
 // never does, and the kernel asks again only after a second, so a short limit and a new dial are quicker.
 inline constexpr Millis kDial{300};
 inline constexpr Millis kRedialLeast{20};  // doubled with every failure,
-inline constexpr Millis kRedialMost{400};  // so that a party that is back is found again at once
+inline constexpr Millis kRedialMost{200};  // so that a party that is back is found again at once
 
 // Calls. PROTOCOL: an answer arrives within 50 ms, or never; the rest is for a core that others use too.
 inline constexpr Millis kAnswer{250};
 inline constexpr Millis kBusyAgain{50};
+inline constexpr double kSpareBacklog = 0.2;  // of the settings' backlog: the module leaves so much in any case
 inline constexpr std::size_t kAnswerLineMost = 256;
 inline constexpr std::size_t kCallBuffer = 128 * 1024;  // two calls of 60,000 bytes of orders
 
--- a/src/routing/planner_thread.cpp
+++ b/src/routing/planner_thread.cpp
@@ -55,7 +55,7 @@
 
 void PlannerThread::turn(SteadyTime now, const std::vector<Event>& events) {
     try {
-        std::vector<Action> actions = planner_.turn(clock_.at(now), events);
+        const std::vector<Action> actions = planner_.turn(clock_.at(now), events);
         carryOut(now, actions);
     } catch (const std::exception& e) {
         startOver(e.what());
@@ -69,12 +69,12 @@
     planner_ = Planner(settings_);
     timers_ = {};
     const SteadyTime now = SteadyTime::clock::now();
-    std::vector<Action> actions = planner_.turn(clock_.at(now), {translator_.wholeList()});
+    const std::vector<Action> actions = planner_.turn(clock_.at(now), {translator_.wholeList()});
     carryOut(now, actions);
     outlets_.startedOver();
 }
 
-void PlannerThread::carryOut(SteadyTime now, std::vector<Action>& actions) {
+void PlannerThread::carryOut(SteadyTime now, const std::vector<Action>& actions) {
     std::vector<std::string> orders;
     for (const Action& action : actions) {
         if (auto order = translator_.order(action)) {
@@ -91,7 +91,7 @@
     }
     if (orders.empty()) return;
     queue_.hold();
-    outlets_.call(std::move(orders));
+    outlets_.call(std::move(orders), translator_.linesAtMost(actions));
 }
 
 }  // namespace marldale::routing
--- a/src/routing/planner_thread.h
+++ b/src/routing/planner_thread.h
@@ -19,7 +19,7 @@
 public:
     // Called in the module's thread; what they start belongs to the sockets' thread.
     struct Outlets {
-        std::function<void(std::vector<std::string> orders)> call;
+        std::function<void(std::vector<std::string> orders, double linesAtMost)> call;
         std::function<void(ServerId, std::string endpoint)> probe;
         std::function<void()> fetchList;
         std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
@@ -45,7 +45,7 @@
     void run();
     void turn(SteadyTime now, const std::vector<Event>& events);
     void startOver(const std::string& why);
-    void carryOut(SteadyTime now, std::vector<Action>& actions);
+    void carryOut(SteadyTime now, const std::vector<Action>& actions);
 
     const Settings settings_;
     const Outlets outlets_;
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -2,21 +2,23 @@
 
 namespace marldale::routing {
 
-RelayCalls::RelayCalls(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
+RelayCalls::RelayCalls(transport::Loop& loop, transport::Address relay, const Settings& settings,
                        std::function<void()> done, Logger log)
     : loop_(loop),
       relay_(std::move(relay)),
       done_(std::move(done)),
       log_(std::move(log)),
-      backoff_(seed),
+      backoff_(settings.seed),
       again_(loop, [this] { ready_ ? send() : dial(); }),
       answer_(loop, [this] { lost("no answer in time"); }),
-      reader_(limits::kAnswerLineMost) {
+      reader_(limits::kAnswerLineMost),
+      guard_(settings) {
     dial();
 }
 
-void RelayCalls::call(std::vector<std::string> orders) {
+void RelayCalls::call(std::vector<std::string> orders, double linesAtMost) {
     pending_.emplace(std::move(orders));
+    linesAtMost_ = linesAtMost;
     send();
 }
 
@@ -50,12 +52,18 @@
 void RelayCalls::lost(const std::string& why) {
     const bool idle = ready_ && !asked_;
     if (!idle) log_("calls", std::string(asked_ ? "the outcome of a call is unknown: " : "no relay: ") + why);
+    if (asked_) unknown_ = true;
     drop();
     again_.after(idle ? transport::Millis{0} : backoff_.failed());
 }
 
 void RelayCalls::send() {
     if (!pending_ || !ready_ || asked_) return;
+    const SteadyTime now = SteadyTime::clock::now();
+    const auto wait = unknown_ ? guard_.wait(now) : std::chrono::microseconds{0};
+    if (wait.count() > 0) return again_.after(std::chrono::ceil<transport::Millis>(wait));
+    unknown_ = false;
+    guard_.sent(now, linesAtMost_);
     asked_ = true;
     answer_.after(limits::kAnswer);
     if (!connection_->write(pending_->line())) lost("its buffer is full");
--- a/src/routing/relay_calls.h
+++ b/src/routing/relay_calls.h
@@ -11,20 +11,21 @@
 #include "routing/backoff.h"
 #include "routing/logger.h"
 #include "routing/pending_call.h"
+#include "routing/resend_guard.h"
 #include "transport/connection.h"
 
 namespace marldale::routing {
 
 class RelayCalls {
 public:
-    RelayCalls(transport::Loop& loop, transport::Address relay, std::uint64_t seed, std::function<void()> done,
-               Logger log);
+    RelayCalls(transport::Loop& loop, transport::Address relay, const Settings& settings,
+               std::function<void()> done, Logger log);
     ~RelayCalls() { drop(); }
     RelayCalls(const RelayCalls&) = delete;
     RelayCalls& operator=(const RelayCalls&) = delete;
 
     // Only when no call is out. `done` follows when all its orders are settled.
-    void call(std::vector<std::string> orders);
+    void call(std::vector<std::string> orders, double linesAtMost);
 
 private:
     void dial();
@@ -46,6 +47,9 @@
     bool asked_ = false;  // a line is out on it
     protocol::LineReader reader_;
     std::optional<PendingCall> pending_;
+    double linesAtMost_ = 0;  // that it puts into the channel
+    bool unknown_ = false;    // whether its first copy was carried out
+    ResendGuard guard_;
 };
 
 }  // namespace marldale::routing
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -33,7 +33,8 @@
       classes_(config.classes),
       kinds_(config.kinds),
       loadFields_(config.settings.loadFields),
-      proxies_(config.settings.proxies) {}
+      proxies_(config.settings.proxies),
+      envelopeLines_(config.settings.envelopeLines) {}
 
 void Translator::events(const Input& input, std::vector<Event>& out) {
     struct Visitor {
@@ -228,6 +229,21 @@
     return std::visit(OrderWriter{*this}, action);
 }
 
+double Translator::linesAtMost(const std::vector<Action>& actions) const {
+    const auto joined = static_cast<double>(joined_.size());
+    const auto table = static_cast<double>(servers_.size() + classes_.size() + 1);
+    double lines = joined * (envelopeLines_ + 1);  // the heads, and the mark
+    for (const Action& action : actions) {
+        const bool binds = std::holds_alternative<Bind>(action);
+        const bool changes = std::holds_alternative<SetLine>(action) ||
+                             std::holds_alternative<DropLines>(action) ||
+                             std::holds_alternative<Withdraw>(action) ||
+                             std::holds_alternative<SetLevel>(action);
+        lines += binds ? table : changes ? joined : 0;
+    }
+    return lines;
+}
+
 std::string Translator::endpoint(ServerId server) const {
     if (server >= servers_.size() || servers_[server].entry.state == ServerState::gone) return {};
     return servers_[server].endpoint;
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -44,6 +44,9 @@
     // The order's text; nothing if the action is no order, or names what discovery has not listed.
     [[nodiscard]] std::optional<std::string> order(const Action& action) const;
 
+    // What these actions put into the channel at most: as if every order concerned every joined proxy.
+    [[nodiscard]] double linesAtMost(const std::vector<Action>& actions) const;
+
     // Where a server can be probed; empty if it is not known or gone.
     [[nodiscard]] std::string endpoint(ServerId server) const;
 
@@ -69,6 +72,7 @@
     Logger log_;
     std::vector<std::string> zones_, classes_, kinds_, loadFields_;
     std::uint32_t proxies_;
+    double envelopeLines_;
     std::vector<Known> servers_;  // by number
     std::unordered_map<std::string, ServerId> numbers_;
     std::uint64_t rev_ = 0;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -11,6 +11,7 @@
 #include "routing/pending_call.h"
 #include "routing/planner_thread.h"
 #include "routing/prober.h"
+#include "routing/resend_guard.h"
 #include "routing/translator.h"
 #include "sockets.h"
 
@@ -245,6 +246,50 @@
     EXPECT_EQ(taken, (Texts{"APPLY a\r\n", "APPLY c\r\n"}));
 }
 
+// ---- Calls of unknown outcome ----
+
+TEST(ResendGuards, LetASmallCallGoAgainAtOnce) {
+    Settings settings;
+    settings.messagesMost = 12;
+    settings.messagesOver = 10000000;
+    settings.backlogLines = 1000;
+    settings.pushRate = 1000;
+    ResendGuard guard(settings);
+    EXPECT_EQ(guard.wait(SteadyTime{}).count(), 0);
+    guard.sent(SteadyTime{}, 200);
+    EXPECT_EQ(guard.wait(SteadyTime{}).count(), 0);
+}
+
+TEST(ResendGuards, HoldACallBackWhileAProxyMightGetTooManyMessages) {
+    Settings settings;
+    settings.messagesMost = 3;
+    settings.messagesOver = 10000000;
+    ResendGuard guard(settings);
+    for (int i = 0; i < 5; ++i) guard.sent(SteadyTime{std::chrono::seconds{i}}, 1);
+    // Those at 2, 3 and 4 s count; the next may go once the one at 2 s is 10 s old.
+    EXPECT_EQ(guard.wait(SteadyTime{5s}), 7s);
+    EXPECT_EQ(guard.wait(SteadyTime{12s}), 0s);
+}
+
+TEST(ResendGuards, HoldALargeCallBackUntilItsFirstCopyHasLeftTheChannel) {
+    Settings settings;
+    settings.backlogLines = 1000;
+    settings.pushRate = 500;
+    ResendGuard guard(settings);
+    guard.sent(SteadyTime{1s}, 250);  // more than the fifth that the module leaves
+    EXPECT_EQ(guard.wait(SteadyTime{1s}), 500ms);
+    EXPECT_EQ(guard.wait(SteadyTime{2s}), 0s);
+}
+
+TEST_F(TranslatorTest, CostOfACallIsBoundedAsIfItConcernedEveryProxy) {
+    know({"s1", "s2"});
+    for (const std::uint16_t p : {1, 2, 3}) (void)events(hello(p));
+    // 3 heads and marks of 4 + 1 lines; 3 lines for each change; a bind brings 2 servers, 2 levels and itself.
+    EXPECT_EQ(translator.linesAtMost({SetLine{1, 0, 1}, Withdraw{0, true}, Bind{1, 1, 0}, Mark{1, false},
+                                      ArmTimer{1, 1}}),
+              3 * 5 + 2 * 3 + 5);
+}
+
 // ---- Small parts ----
 
 TEST(Backoffs, DoubleToABoundWithJitterAndBeginAnewAfterSuccess) {
@@ -341,7 +386,7 @@
 
     PlannerThread::Outlets outlets() {
         PlannerThread::Outlets out;
-        out.call = [this](Orders orders) {
+        out.call = [this](Orders orders, double) {
             const std::lock_guard lock(mutex);
             calls.push_back(std::move(orders));
             changed.notify_all();
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -30,7 +30,7 @@
 protected:
     void start(Scripted::Script script) {
         relay = std::make_unique<Scripted>(loop, std::move(script));
-        calls = std::make_unique<RelayCalls>(loop, relay->address(), 1, [this] { ++done; }, kSilent);
+        calls = std::make_unique<RelayCalls>(loop, relay->address(), settings, [this] { ++done; }, kSilent);
     }
     // What all connections have received, one after the other.
     std::string heard() {
@@ -42,6 +42,7 @@
     transport::Loop loop;
     std::unique_ptr<Scripted> relay;
     std::unique_ptr<RelayCalls> calls;
+    const Settings settings = tests::smallConfig().settings;
     int done = 0;
 };
 
@@ -49,17 +50,17 @@
     start([](Scripted::Client& c) {
         for (const char* piece : {"O", "K", " ", "2", "\r", "\n"}) c.say(piece);
     });
-    calls->call({"clear,1", "mark,1,0"});
+    calls->call({"clear,1", "mark,1,0"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1;mark,1,0\r\n");
-    calls->call({"clear,2", "mark,2,0"});
+    calls->call({"clear,2", "mark,2,0"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 2; }));
     EXPECT_EQ(relay->came(), 1U) << "the connection is kept";
 }
 
 TEST_F(CallsTest, BreakAfterTheCallSendsTheSameAgainOnANewConnection) {
     start([](Scripted::Client& c) { c.number == 0 ? c.hangUp() : c.say("OK 1\r\n"); });
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(relay->got(0), "APPLY clear,1\r\n");
     EXPECT_EQ(relay->got(1), "APPLY clear,1\r\n");
@@ -69,7 +70,7 @@
     start([](Scripted::Client& c) {
         if (c.number > 0) c.say("OK 1\r\n");
     });
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\nAPPLY clear,1\r\n");
     EXPECT_EQ(relay->came(), 2U);
@@ -81,7 +82,7 @@
         const std::string answers[] = {"OK 7\r\n", "\x01\x02\r\n", endless, "OK 1\r\n"};
         c.say(answers[std::min<std::size_t>(c.number, 3)]);
     });
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(relay->came(), 4U);
     for (std::size_t n = 0; n < 4; ++n) EXPECT_EQ(relay->got(n), "APPLY clear,1\r\n");
@@ -90,7 +91,7 @@
 TEST_F(CallsTest, BusyIsAskedAgainUntilTheRunBegins) {
     int asked = 0;
     start([&](Scripted::Client& c) { c.say(++asked < 3 ? "BUSY\r\n" : "OK 1\r\n"); });
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(asked, 3);
 }
@@ -98,7 +99,7 @@
 TEST_F(CallsTest, ShortAnswerDropsOneOrderAndSendsTheRest) {
     int asked = 0;
     start([&](Scripted::Client& c) { c.say(++asked == 1 ? "OK 1\r\n" : "OK 2\r\n"); });
-    calls->call({"a", "bad", "c", "d"});
+    calls->call({"a", "bad", "c", "d"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY a;bad;c;d\r\nAPPLY c;d\r\n");
 }
@@ -108,7 +109,7 @@
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 1; }));
     relay->client(0).hangUp();
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 2; }));
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\n") << "sent once";
 }
@@ -119,7 +120,7 @@
     relay->client(0).say("OK 1\r\n");
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 2; }));
     EXPECT_EQ(done, 0);
-    calls->call({"clear,1"});
+    calls->call({"clear,1"}, 10);
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
 }
 
@@ -129,8 +130,8 @@
         const Scripted gone(loop);
         address = gone.address();
     }
-    calls = std::make_unique<RelayCalls>(loop, address, 1, [this] { ++done; }, kSilent);
-    calls->call({"clear,1"});
+    calls = std::make_unique<RelayCalls>(loop, address, settings, [this] { ++done; }, kSilent);
+    calls->call({"clear,1"}, 10);
     std::unique_ptr<transport::Listener> late;
     std::vector<std::unique_ptr<transport::Connection>> accepted;
     int refused = 0;
