--- a/src/routing/resend_guard.h
+++ b/src/routing/resend_guard.h
@@ -3,6 +3,7 @@
 // proxy within a span. What a call costs is bounded from above, as if it concerned every proxy.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 
 #include "policy.h"
@@ -22,7 +23,7 @@
     void sent(SteadyTime now, double linesAtMost) {
         times_.push_back(now);
         lines_ = linesAtMost;
-        while (times_.size() > messagesMost_ && !times_.empty()) times_.pop_front();
+        while (times_.size() > std::max(1U, messagesMost_)) times_.pop_front();
     }
     // How long the last call has to wait before it may be sent again.
     [[nodiscard]] std::chrono::microseconds wait(SteadyTime now) const {
