News and reports of one moment are gathered into one turn

The proxies that join at one moment came in two reads 2 ms apart; the first hello started a turn of its own, so each moment made two tables instead of one, and every later change went to twice the tables (96 lines where the simulator has 48). Ruled out: lost or late reports (same counts a second), news (same hellos and byes), lost calls (none). Wrong: EventQueue::take handed out the first item at once. It now waits 5 ms from the first item on.

--- a/src/routing/event_queue.h
+++ b/src/routing/event_queue.h
@@ -1,6 +1,7 @@
 // The one way from the sockets to the module's thread: a bounded queue.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <deque>
@@ -16,13 +17,17 @@
 class EventQueue {
 public:
     // Reports may be lost, for the next ones come in any case; so they get only a part of the room.
-    EventQueue(std::size_t most, std::size_t mostForReports) : most_(most), mostForReports_(mostForReports) {}
+    // What comes within `gather` of the first item is handed out with it: the news of one moment arrives in
+    // several reads, and is one batch all the same.
+    EventQueue(std::size_t most, std::size_t mostForReports, std::chrono::microseconds gather)
+        : most_(most), mostForReports_(mostForReports), gather_(gather) {}
 
     // False if there is no room.
     [[nodiscard]] bool push(Item item, bool isReport) {
         {
             const std::lock_guard lock(mutex_);
             if (items_.size() >= (isReport ? mostForReports_ : most_)) return false;
+            if (items_.empty()) firstAt_ = std::chrono::steady_clock::now();
             items_.push_back(std::move(item));
         }
         changed_.notify_one();
@@ -49,19 +54,19 @@
         changed_.notify_one();
     }
 
-    // All that has come, as soon as anything has, or `due` is past, and not before `earliest`. Nothing once
-    // it is closed.
-    [[nodiscard]] std::optional<std::vector<Item>> take(SteadyTime earliest, std::optional<SteadyTime> due) {
+    // All that has come, once the first item has waited `gather` or `due` is past. Nothing once it is closed.
+    [[nodiscard]] std::optional<std::vector<Item>> take(std::optional<SteadyTime> due) {
         std::unique_lock lock(mutex_);
         for (;;) {
             if (closed_) return std::nullopt;
-            const SteadyTime now = std::chrono::steady_clock::now();
-            const bool something = !items_.empty() || (due && now >= *due);
-            if (!held_ && something && now >= earliest) break;
-            if (held_ || (items_.empty() && !due)) {
+            std::optional<SteadyTime> when = due;
+            if (!items_.empty()) when = std::min(firstAt_ + gather_, due.value_or(SteadyTime::max()));
+            if (held_ || !when) {
                 changed_.wait(lock);
+            } else if (std::chrono::steady_clock::now() >= *when) {
+                break;
             } else {
-                changed_.wait_until(lock, items_.empty() ? std::max(earliest, *due) : earliest);
+                changed_.wait_until(lock, *when);
             }
         }
         std::vector<Item> out(std::make_move_iterator(items_.begin()), std::make_move_iterator(items_.end()));
@@ -71,9 +76,11 @@
 
 private:
     const std::size_t most_, mostForReports_;
+    const std::chrono::microseconds gather_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<Item> items_;
+    SteadyTime firstAt_{};  // when the first of them came
     bool held_ = false, closed_ = false;
 };
 
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -43,6 +43,10 @@
 inline constexpr std::size_t kCollectorsMost = 64;  // a zone has one; more are left over from breaks
 inline constexpr std::size_t kReplyBuffer = 4096;
 
+// Turns. What the relay and the collectors tell of one moment arrives spread over a few milliseconds. The
+// simulator gives it to the module as one batch; cut in two, proxies that join together get two tables.
+inline constexpr std::chrono::microseconds kGather{5000};
+
 // What waits for the module's thread while a call is out.
 inline constexpr std::size_t kReportsQueued = 20000;
 inline constexpr std::size_t kEventsQueued = 40000;
--- a/src/routing/planner_thread.cpp
+++ b/src/routing/planner_thread.cpp
@@ -3,20 +3,13 @@
 #include "routing/limits.h"
 
 namespace marldale::routing {
-namespace {
-
-// The simulator's batches come at most this often; so do turns, and what comes in pieces is seen together.
-constexpr std::chrono::microseconds kTurnsApart{2000};
-
-}  // namespace
-
 PlannerThread::PlannerThread(const protocol::Config& config, Outlets outlets, Logger log)
     : settings_(config.settings),
       outlets_(std::move(outlets)),
       log_(std::move(log)),
       translator_(config, log_),
       planner_(settings_),
-      queue_(limits::kEventsQueued, limits::kReportsQueued) {
+      queue_(limits::kEventsQueued, limits::kReportsQueued, limits::kGather) {
     std::vector<Event> events;
     translator_.events(ListInput{config.known, true}, events);
     turn(SteadyTime::clock::now(), events);
@@ -35,14 +28,12 @@
 }
 
 void PlannerThread::run() {
-    SteadyTime earliest{};
     for (;;) {
         std::optional<SteadyTime> due;
         if (!timers_.empty()) due = timers_.top().at;
-        const auto inputs = queue_.take(earliest, due);
+        const auto inputs = queue_.take(due);
         if (!inputs) return;
         const SteadyTime now = SteadyTime::clock::now();
-        earliest = now + kTurnsApart;
         std::vector<Event> events;
         for (const Input& input : *inputs) translator_.events(input, events);
         while (!timers_.empty() && timers_.top().at <= now) {
