--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Shortcuts; CMake does the work.
+.PHONY: build test sanitize tsan lint format run clean
+
+BUILD := cmake --build
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DMARLDALE_EXAMPLE=ON
+	$(BUILD) build -j4
+
+test:
+	cmake -B build/tests -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON
+	$(BUILD) build/tests -j4
+	ctest --test-dir build/tests --output-on-failure -j4
+
+sanitize:
+	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON -DMARLDALE_SANITIZE=ON
+	$(BUILD) build/sanitize -j4
+	ctest --test-dir build/sanitize --output-on-failure -j4
+
+# The queue between the sockets and the module's thread.
+tsan:
+	cmake -B build/tsan -DCMAKE_BUILD_TYPE=Debug -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON -DMARLDALE_TSAN=ON
+	$(BUILD) build/tsan -j4 --target routing_test
+	ctest --test-dir build/tsan --output-on-failure -R '^(Queue|PlannerThreadTest)\.'
+
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'example/*.cpp')
+
+lint:
+	clang-format --dry-run --Werror $(SOURCES)
+	cmake -B build/tests -DMARLDALE_TESTS=ON
+	clang-tidy -p build/tests --quiet $(filter src/%.cpp,$(SOURCES))
+
+format:
+	clang-format -i $(SOURCES)
+
+run: build
+	RELAY_CONFIG=example/config.json build/marldale
+
+clean:
+	rm -rf build
--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -1,5 +1,6 @@
 #include "program/daemon.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace marldale::program {
@@ -79,7 +80,8 @@
     const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
     const transport::Address relay = addressOf(config_.relay, "relay.address");
     const std::uint64_t seed = config_.settings.seed;
-    calls_.emplace(loop_, relay, config_.settings, [this] { planner_->callEnded(); }, logger_);
+    calls_.emplace(
+        loop_, relay, config_.settings, [this] { planner_->callEnded(); }, logger_);
     news_.emplace(loop_, relay, seed + 1, post, logger_);
     catalog_.emplace(loop_, addressOf(config_.discovery, "discovery"), config_.known.rev, seed + 2, post,
                      logger_);
@@ -88,7 +90,13 @@
 
 void Daemon::serve() {
     const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
-    intake_.emplace(loop_, addressOf(config_.listen, "listen"), post, logger_);
+    // A quarter of the descriptors at most: collectors, probes and the platform's own connections need the
+    // rest.
+    const std::size_t strangers =
+        config_.sockets == 0
+            ? routing::limits::kStrangersMost
+            : std::clamp<std::size_t>(config_.sockets / 4, 1, routing::limits::kStrangersMost);
+    intake_.emplace(loop_, addressOf(config_.listen, "listen"), strangers, post, logger_);
 }
 
 void Daemon::stop(const char* signal) {
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -5,14 +5,15 @@
 namespace marldale::program {
 namespace {
 
-constexpr int kLinesMost = 10;                     // of one topic
-constexpr std::chrono::seconds kWithin{10};        // in this time
-constexpr std::size_t kTextMost = 300;             // what a stranger sent must not fill the log
+constexpr int kLinesMost = 10;               // of one topic
+constexpr std::chrono::seconds kWithin{10};  // in this time
+constexpr std::size_t kTextMost = 300;       // what a stranger sent must not fill the log
 constexpr std::size_t kBuffer = 16384;
 
 std::string printable(const std::string& text) {
     std::string out = text.substr(0, kTextMost);
-    std::replace_if(out.begin(), out.end(), [](unsigned char c) { return c < ' ' || c > '~'; }, '?');
+    std::replace_if(
+        out.begin(), out.end(), [](unsigned char c) { return c < ' ' || c > '~'; }, '?');
     return out;
 }
 
--- a/src/protocol/catalog.cpp
+++ b/src/protocol/catalog.cpp
@@ -43,8 +43,8 @@
     out.endpoint = endpoint.value_or("");
     out.zone = zone.value_or("");
     out.kind = textIn(object, "model").value_or("");
-    out.cell = wholeIn<std::uint16_t>(object, "pod_group", std::numeric_limits<std::uint16_t>::max())
-                   .value_or(0);
+    out.cell =
+        wholeIn<std::uint16_t>(object, "pod_group", std::numeric_limits<std::uint16_t>::max()).value_or(0);
     out.weight = weight.value_or(0);
     out.bootUs = boot.value_or(0);
     return out;
--- a/src/protocol/config.cpp
+++ b/src/protocol/config.cpp
@@ -76,7 +76,8 @@
 
 // Names as they came, before the flat form replaces characters in them.
 void readNames(const Json& settings, Config& out) {
-    if (const auto zones = settings.find("failureDomains"); zones != settings.end()) out.zones = texts(*zones);
+    if (const auto zones = settings.find("failureDomains"); zones != settings.end())
+        out.zones = texts(*zones);
     if (const auto kinds = settings.find("flavors"); kinds != settings.end()) out.kinds = texts(*kinds);
     const auto classes = settings.find("categories");
     if (classes == settings.end()) return;
--- a/src/protocol/config.h
+++ b/src/protocol/config.h
@@ -17,12 +17,12 @@
 
 struct Config {
     std::string name, listen, discovery, relay;
-    std::size_t sockets = 0;             // file descriptors allowed; 0: not told
-    CatalogNews known;                   // the list as this planner had it most recently
-    Settings settings;                   // with the seed
-    std::vector<std::string> zones;      // by index, as discovery and proxies call them
-    std::vector<std::string> classes;    // by index, as orders and reports call them
-    std::vector<std::string> kinds;      // by index
+    std::size_t sockets = 0;           // file descriptors allowed; 0: not told
+    CatalogNews known;                 // the list as this planner had it most recently
+    Settings settings;                 // with the seed
+    std::vector<std::string> zones;    // by index, as discovery and proxies call them
+    std::vector<std::string> classes;  // by index, as orders and reports call them
+    std::vector<std::string> kinds;    // by index
 };
 
 // Throws BadConfig with one plain line.
--- a/src/protocol/relay.cpp
+++ b/src/protocol/relay.cpp
@@ -8,9 +8,9 @@
 namespace marldale::protocol {
 namespace {
 
-constexpr double kRateMost = 1e9;       // requests a second of one proxy
-constexpr double kTookMostMs = 3.6e6;   // an answer later than an hour is none
-constexpr std::size_t kWordsMost = 8;   // no line has more that mean anything
+constexpr double kRateMost = 1e9;      // requests a second of one proxy
+constexpr double kTookMostMs = 3.6e6;  // an answer later than an hour is none
+constexpr std::size_t kWordsMost = 8;  // no line has more that mean anything
 
 std::vector<std::string_view> words(std::string_view line) {
     std::vector<std::string_view> out;
--- a/src/routing/backoff.h
+++ b/src/routing/backoff.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <random>
+#include <utility>
 
 #include "routing/limits.h"
 
@@ -13,16 +14,24 @@
 public:
     explicit Backoff(std::uint64_t seed) : random_(seed) {}
 
-    void succeeded() { next_ = limits::kRedialLeast; }
+    // The number of failures before.
+    int succeeded() {
+        next_ = limits::kRedialLeast;
+        return std::exchange(failures_, 0);
+    }
+    [[nodiscard]] int failures() const { return failures_; }
     [[nodiscard]] transport::Millis failed() {
+        ++failures_;
         const auto most = next_.count();
         next_ = std::min(next_ * 2, limits::kRedialMost);
-        return transport::Millis{std::uniform_int_distribution<transport::Millis::rep>(most / 2, most)(random_)};
+        return transport::Millis{
+            std::uniform_int_distribution<transport::Millis::rep>(most / 2, most)(random_)};
     }
 
 private:
     std::minstd_rand random_;
     transport::Millis next_ = limits::kRedialLeast;
+    int failures_ = 0;
 };
 
 }  // namespace marldale::routing
--- a/src/routing/catalog_watch.cpp
+++ b/src/routing/catalog_watch.cpp
@@ -46,7 +46,7 @@
 }
 
 void CatalogWatch::lost(const std::string& why) {
-    log_("discovery", "the watch has ended: " + why);
+    if (backoff_.failures() == 0) log_("discovery", "the watch has ended: " + why);
     if (watch_) {
         watch_->cancel();
         loop_.bury(std::move(watch_));
@@ -55,7 +55,9 @@
 }
 
 bool CatalogWatch::onLine(std::string_view line) {
-    backoff_.succeeded();
+    if (const int failures = backoff_.succeeded(); failures > 0) {
+        log_("discovery", "the watch stands again, after " + std::to_string(failures) + " failures");
+    }
     if (line.empty()) return true;
     const auto news = protocol::parseCatalog(line);
     if (!news) {
--- a/src/routing/clock.h
+++ b/src/routing/clock.h
@@ -1,5 +1,5 @@
-// The module's clock: the wall clock at the start plus steady time, so that a server's boot time and "now" are
-// on one scale and a clock that is set moves nothing.
+// The module's clock: the wall clock at the start plus steady time, so that a server's boot time and "now"
+// are on one scale and a clock that is set moves nothing.
 #pragma once
 
 #include <chrono>
@@ -17,7 +17,8 @@
 
     Clock() : Clock(System::now(), Steady::now()) {}
     Clock(System::time_point wall, Steady::time_point steady)
-        : wallAtStart_(std::chrono::duration_cast<std::chrono::microseconds>(wall.time_since_epoch()).count()),
+        : wallAtStart_(
+              std::chrono::duration_cast<std::chrono::microseconds>(wall.time_since_epoch()).count()),
           start_(steady) {}
 
     [[nodiscard]] Micros at(Steady::time_point when) const {
--- a/src/routing/intake.cpp
+++ b/src/routing/intake.cpp
@@ -7,9 +7,10 @@
 
 }  // namespace
 
-Intake::Intake(transport::Loop& loop, const transport::Address& listen, std::function<bool(Input)> post,
-               Logger log)
+Intake::Intake(transport::Loop& loop, const transport::Address& listen, std::size_t strangersMost,
+               std::function<bool(Input)> post, Logger log)
     : loop_(loop),
+      strangersMost_(strangersMost),
       post_(std::move(post)),
       log_(std::move(log)),
       sweep_(loop, [this] { sweep(); }),
@@ -25,7 +26,7 @@
 
 void Intake::accept(evutil_socket_t fd) {
     // Strangers who say nothing are never waited for; the oldest makes room for who comes now.
-    if (strangers_.size() >= limits::kStrangersMost) {
+    if (strangers_.size() >= strangersMost_) {
         log_("strangers", "too many who have not said who they are; the oldest is sent away");
         remove(strangers_.begin());
     }
@@ -34,8 +35,8 @@
     transport::Connection::Handlers handlers;
     handlers.received = [this, guest](std::string_view bytes) { received(guest, bytes); };
     handlers.ended = [this, guest](transport::Ended) { remove(guest); };
-    guest->connection = std::make_unique<transport::Connection>(loop_, fd, limits::kReplyBuffer,
-                                                                std::move(handlers));
+    guest->connection =
+        std::make_unique<transport::Connection>(loop_, fd, limits::kReplyBuffer, std::move(handlers));
 }
 
 void Intake::remove(Guests::iterator guest) {
--- a/src/routing/intake.h
+++ b/src/routing/intake.h
@@ -17,8 +17,8 @@
 
 class Intake {
 public:
-    Intake(transport::Loop& loop, const transport::Address& listen, std::function<bool(Input)> post,
-           Logger log);
+    Intake(transport::Loop& loop, const transport::Address& listen, std::size_t strangersMost,
+           std::function<bool(Input)> post, Logger log);
     ~Intake();
     Intake(const Intake&) = delete;
     Intake& operator=(const Intake&) = delete;
@@ -46,6 +46,7 @@
     }
 
     transport::Loop& loop_;
+    const std::size_t strangersMost_;
     const std::function<bool(Input)> post_;
     const Logger log_;
     Guests strangers_, collectors_;
--- a/src/routing/news_watch.cpp
+++ b/src/routing/news_watch.cpp
@@ -42,7 +42,7 @@
 }
 
 void NewsWatch::lost(const std::string& why) {
-    log_("news", "no news of proxies: " + why);
+    if (backoff_.failures() == 0) log_("news", "no news of proxies: " + why);
     drop();
     again_.after(backoff_.failed());
 }
@@ -75,7 +75,9 @@
     if (phase_ == Phase::live) return true;
     // What stands is written before anything else, so with the first sign of life it has all come.
     phase_ = Phase::live;
-    backoff_.succeeded();
+    if (const int failures = backoff_.succeeded(); failures > 0) {
+        log_("news", "news again, after " + std::to_string(failures) + " failures");
+    }
     return give(StandingEnds{});
 }
 
--- a/src/routing/planner_thread.cpp
+++ b/src/routing/planner_thread.cpp
@@ -1,18 +1,34 @@
 #include "routing/planner_thread.h"
 
+#include <utility>
+
 #include "routing/limits.h"
 
 namespace marldale::routing {
+namespace {
+
+PlannerThread::MakeModule plannerOf(const Settings& settings) {
+    return [settings] {
+        const auto planner = std::make_shared<Planner>(settings);
+        return [planner](Micros now, const std::vector<Event>& events) { return planner->turn(now, events); };
+    };
+}
+
+}  // namespace
+
 PlannerThread::PlannerThread(const protocol::Config& config, Outlets outlets, Logger log)
-    : settings_(config.settings),
+    : PlannerThread(config, plannerOf(config.settings), std::move(outlets), std::move(log)) {}
+
+PlannerThread::PlannerThread(const protocol::Config& config, MakeModule make, Outlets outlets, Logger log)
+    : make_(std::move(make)),
       outlets_(std::move(outlets)),
       log_(std::move(log)),
       translator_(config, log_),
-      planner_(settings_),
+      module_(make_()),
       queue_(limits::kEventsQueued, limits::kReportsQueued, limits::kGather) {
     std::vector<Event> events;
     translator_.events(ListInput{config.known, true}, events);
-    turn(SteadyTime::clock::now(), events);
+    turn(SteadyTime::clock::now(), std::move(events));
     thread_ = std::thread([this] { run(); });
 }
 
@@ -40,28 +56,26 @@
             events.emplace_back(TimerDue{timers_.top().tag});
             timers_.pop();
         }
-        if (!events.empty()) turn(now, events);
+        if (!events.empty()) turn(now, std::move(events));
     }
 }
 
-void PlannerThread::turn(SteadyTime now, const std::vector<Event>& events) {
+void PlannerThread::turn(SteadyTime now, std::vector<Event> events) {
+    if (std::exchange(startsOver_, false)) events.insert(events.begin(), translator_.wholeList());
     try {
-        const std::vector<Action> actions = planner_.turn(clock_.at(now), events);
-        carryOut(now, actions);
+        carryOut(now, module_(clock_.at(now), events));
     } catch (const std::exception& e) {
         startOver(e.what());
     }
 }
 
 // A module that has thrown can't be trusted with what it remembers. It begins anew, as after a restart, and
-// the proxies go on with what they hold until they are told to it again.
+// the proxies go on with what they hold until the relay has told it who stands.
 void PlannerThread::startOver(const std::string& why) {
     log_("module", "the module failed and starts over: " + why);
-    planner_ = Planner(settings_);
+    module_ = make_();
     timers_ = {};
-    const SteadyTime now = SteadyTime::clock::now();
-    const std::vector<Action> actions = planner_.turn(clock_.at(now), {translator_.wholeList()});
-    carryOut(now, actions);
+    startsOver_ = true;
     outlets_.startedOver();
 }
 
--- a/src/routing/planner_thread.h
+++ b/src/routing/planner_thread.h
@@ -25,8 +25,12 @@
         std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
     };
 
+    using Module = std::function<std::vector<Action>(Micros now, const std::vector<Event>& events)>;
+    using MakeModule = std::function<Module()>;
+
     // Returns once the module stands with the known list.
     PlannerThread(const protocol::Config& config, Outlets outlets, Logger log);
+    PlannerThread(const protocol::Config& config, MakeModule make, Outlets outlets, Logger log);
     ~PlannerThread();
     PlannerThread(const PlannerThread&) = delete;
     PlannerThread& operator=(const PlannerThread&) = delete;
@@ -43,16 +47,17 @@
     };
 
     void run();
-    void turn(SteadyTime now, const std::vector<Event>& events);
+    void turn(SteadyTime now, std::vector<Event> events);
     void startOver(const std::string& why);
     void carryOut(SteadyTime now, const std::vector<Action>& actions);
 
-    const Settings settings_;
+    const MakeModule make_;
     const Outlets outlets_;
     const Logger log_;
     const Clock clock_;
     Translator translator_;
-    Planner planner_;
+    Module module_;
+    bool startsOver_ = false;  // the module is new and has to be told the list
     std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
     EventQueue<Input> queue_;
     std::thread thread_;
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -51,10 +51,15 @@
 // those, and the next call shall find a new one standing.
 void RelayCalls::lost(const std::string& why) {
     const bool idle = ready_ && !asked_;
-    if (!idle) log_("calls", std::string(asked_ ? "the outcome of a call is unknown: " : "no relay: ") + why);
-    if (asked_) unknown_ = true;
+    if (asked_) {
+        unknown_ = true;
+        log_("calls", "the outcome of a call is unknown: " + why);
+    } else if (!idle && backoff_.failures() <= 1) {  // further failures are counted, and told at the end
+        log_("calls", "no relay: " + why);
+    }
     drop();
-    again_.after(idle ? transport::Millis{0} : backoff_.failed());
+    // Not at once: a relay that closes whatever it accepts must not make us spin.
+    again_.after(idle ? limits::kRedialLeast : backoff_.failed());
 }
 
 void RelayCalls::send() {
@@ -90,7 +95,9 @@
         case PendingCall::Next::waitAndSendAgain: return again_.after(limits::kBusyAgain);
         case PendingCall::Next::goOn: break;
     }
-    backoff_.succeeded();
+    if (const int failures = backoff_.succeeded(); failures > 0) {
+        log_("calls", "the relay answers again, after " + std::to_string(failures) + " failures");
+    }
     if (!pending_->done()) return send();
     pending_.reset();
     done_();
--- a/src/routing/resend_guard.h
+++ b/src/routing/resend_guard.h
@@ -1,6 +1,7 @@
-// A call whose outcome is unknown may have been carried out, and its first copy may still wait in the channel.
-// Sent again at once it must not break the queue rule: so many lines in the channel, so many messages to one
-// proxy within a span. What a call costs is bounded from above, as if it concerned every proxy.
+// A call whose outcome is unknown may have been carried out, and its first copy may still wait in the
+// channel. Sent again at once it must not break the queue rule: so many lines in the channel, so many
+// messages to one proxy within a span. What a call costs is bounded from above, as if it concerned every
+// proxy.
 #pragma once
 
 #include <algorithm>
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -154,8 +154,8 @@
         const auto server = serverOf(o->server);
         const auto zone = zoneOf(o->zone);
         if (!server || !zone) {
-            return log_("report", "outcomes left out: unknown " + (server ? "zone " + o->zone
-                                                                          : "server " + o->server));
+            return log_("report",
+                        "outcomes left out: unknown " + (server ? "zone " + o->zone : "server " + o->server));
         }
         ServerSums sums{*server, *zone, o->tries, o->failed, o->overUs, o->meanUs, loadReport(o->load)};
         out.emplace_back(std::move(sums));
@@ -235,10 +235,9 @@
     double lines = joined * (envelopeLines_ + 1);  // the heads, and the mark
     for (const Action& action : actions) {
         const bool binds = std::holds_alternative<Bind>(action);
-        const bool changes = std::holds_alternative<SetLine>(action) ||
-                             std::holds_alternative<DropLines>(action) ||
-                             std::holds_alternative<Withdraw>(action) ||
-                             std::holds_alternative<SetLevel>(action);
+        const bool changes =
+            std::holds_alternative<SetLine>(action) || std::holds_alternative<DropLines>(action) ||
+            std::holds_alternative<Withdraw>(action) || std::holds_alternative<SetLevel>(action);
         lines += binds ? table : changes ? joined : 0;
     }
     return lines;
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -32,7 +32,8 @@
     protocol::LoadValues load;
 };
 
-using Input = std::variant<ListInput, StandingBegins, StandingEnds, protocol::News, protocol::Report, ProbeEnded>;
+using Input =
+    std::variant<ListInput, StandingBegins, StandingEnds, protocol::News, protocol::Report, ProbeEnded>;
 
 class Translator {
 public:
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -29,9 +29,10 @@
 }
 
 Connection::Connection(Loop& loop, std::size_t outputMost, Handlers handlers)
-    : loop_(loop), outputMost_(outputMost), handlers_(std::move(handlers)), connectLimit_(loop, [this] {
-          end(Ended::connectTimeout);
-      }) {}
+    : loop_(loop),
+      outputMost_(outputMost),
+      handlers_(std::move(handlers)),
+      connectLimit_(loop, [this] { end(Ended::connectTimeout); }) {}
 
 Connection::Connection(Loop& loop, const Address& to, Millis limit, std::size_t outputMost, Handlers handlers)
     : Connection(loop, outputMost, std::move(handlers)) {
--- a/src/transport/http_get.cpp
+++ b/src/transport/http_get.cpp
@@ -22,9 +22,10 @@
 void HttpGet::Free::operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
 
 HttpGet::HttpGet(Loop& loop, const Address& to, const std::string& path, HttpLimits limits, Handlers handlers)
-    : loop_(loop), limits_(limits), handlers_(std::move(handlers)), limit_(loop, [this] {
-          end(HttpEnd::timeout, 0, {});
-      }) {
+    : loop_(loop),
+      limits_(limits),
+      handlers_(std::move(handlers)),
+      limit_(loop, [this] { end(HttpEnd::timeout, 0, {}); }) {
     limit_.after(limits.firstByte);
     connection_.reset(evhttp_connection_base_new(loop.base(), nullptr, to.host.c_str(), to.port));
     evhttp_request* request = evhttp_request_new(
@@ -45,13 +46,13 @@
     bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection_.get()), EV_READ, 0,
                              limits.bodyMost);
     evhttp_request_set_error_cb(request, [](evhttp_request_error e, void* self) {
-        static_cast<HttpGet*>(self)->failure_ =
-            e == EVREQ_HTTP_TIMEOUT ? HttpEnd::timeout : HttpEnd::broken;
+        static_cast<HttpGet*>(self)->failure_ = e == EVREQ_HTTP_TIMEOUT ? HttpEnd::timeout : HttpEnd::broken;
     });
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", to.text().c_str());
     if (!handlers_.piece) evhttp_add_header(headers, "Connection", "close");
     if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) {
+        evhttp_request_free(request);  // it was not queued, so the connection does not own it
         limit_.after(Millis{0});
     }
 }
--- a/src/transport/http_get.h
+++ b/src/transport/http_get.h
@@ -19,8 +19,8 @@
 [[nodiscard]] const char* name(HttpEnd how);
 
 struct HttpLimits {
-    Millis firstByte{0};   // from the dial to the answer's first piece
-    Millis silence{0};     // between two pieces of a stream
+    Millis firstByte{0};       // from the dial to the answer's first piece
+    Millis silence{0};         // between two pieces of a stream
     std::size_t bodyMost = 0;  // bytes that may be buffered
 };
 
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -9,8 +9,8 @@
 namespace marldale::transport {
 namespace {
 
-constexpr int kBacklog = 128;           // connections that wait to be accepted
-constexpr Millis kAcceptAgain{100};     // pause when the process is out of descriptors
+constexpr int kBacklog = 128;        // connections that wait to be accepted
+constexpr Millis kAcceptAgain{100};  // pause when the process is out of descriptors
 
 }  // namespace
 
@@ -21,10 +21,9 @@
     };
     const sockaddr_in address = at.socketAddress();
     // The address of a killed predecessor is used again at once.
-    listener_.reset(evconnlistener_new_bind(loop.base(), onAccept, this,
-                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
-                                            kBacklog, reinterpret_cast<const sockaddr*>(&address),
-                                            sizeof address));
+    listener_.reset(evconnlistener_new_bind(
+        loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        kBacklog, reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (!listener_) {
         throw std::runtime_error("can't listen on " + at.text() + ": " + std::strerror(errno));
     }
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -67,7 +67,8 @@
 bool Timer::pending() const { return evtimer_pending(event_.get(), nullptr) != 0; }
 
 Signal::Signal(const Loop& loop, int number, std::function<void()> came)
-    : came_(std::move(came)), event_(evsignal_new(loop.base(), number, invoke<std::function<void()>>, &came_)) {
+    : came_(std::move(came)),
+      event_(evsignal_new(loop.base(), number, invoke<std::function<void()>>, &came_)) {
     if (!event_ || evsignal_add(event_.get(), nullptr) != 0) {
         throw std::runtime_error("no signal can be watched");
     }
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -24,7 +24,8 @@
     // Runs a task in the loop's thread; may be called from any thread.
     void post(std::function<void()> task);
 
-    // Keeps an object until the present callback is over: a connection must not be destroyed by what it calls.
+    // Keeps an object until the present callback is over: a connection must not be destroyed by what it
+    // calls.
     template <class T, class Delete>
     void bury(std::unique_ptr<T, Delete> object) {
         if (object) post([kept = std::shared_ptr<T>(std::move(object))] {});
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,234 @@
+// The program as its users meet it: started as a process, against scripted parties on loopback.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <random>
+
+#include "program/log.h"
+#include "protocol/frames.h"
+#include "protocol/reports.h"
+#include "sockets.h"
+
+namespace marldale {
+namespace {
+
+using protocol::Json;
+using tests::Dialler;
+using tests::runUntil;
+using tests::Scripted;
+
+// One run of build/marldale with its environment and standard error in a file.
+class Process {
+public:
+    explicit Process(const std::string& config, const std::string& directory)
+        : errors_(directory + "/stderr") {
+        pid_ = fork();
+        if (pid_ != 0) return;
+        const int out = open(errors_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        dup2(out, STDERR_FILENO);
+        for (const char* name : {"RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"})
+            unsetenv(name);
+        if (!config.empty()) setenv("RELAY_CONFIG", config.c_str(), 1);
+        execl(MARLDALE_PROGRAM, MARLDALE_PROGRAM, nullptr);
+        _exit(127);
+    }
+    ~Process() {
+        if (pid_ > 0) end(SIGKILL);
+    }
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    // Sends a signal (0: none) and waits for the end. The exit status, or minus the signal that ended it.
+    int end(int signal) {
+        if (signal != 0) kill(pid_, signal);
+        int status = 0;
+        waitpid(pid_, &status, 0);
+        pid_ = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+    [[nodiscard]] bool running() const { return pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
+    [[nodiscard]] std::string errors() const {
+        std::ifstream in(errors_);
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
+private:
+    pid_t pid_ = 0;
+    std::string errors_;
+};
+
+class ProgramTest : public testing::Test {
+protected:
+    void SetUp() override {
+        std::string pattern = testing::TempDir() + "marldaleXXXXXX";
+        ASSERT_NE(mkdtemp(pattern.data()), nullptr);
+        directory = pattern;
+        // A port that is free now; nothing else on this machine's loopback wants it meanwhile.
+        listen = Scripted(loop).address();
+    }
+    std::string writeConfig(const Json& config) const {
+        const std::string path = directory + "/config.json";
+        std::ofstream(path) << config.dump();
+        return path;
+    }
+    [[nodiscard]] Json config(const transport::Address& relay, const transport::Address& discovery) const {
+        Json out = tests::smallConfigJson();
+        out["listen"] = listen.text();
+        out["relay"]["address"] = relay.text();
+        out["discovery"] = discovery.text();
+        return out;
+    }
+    // Dials until it is let in and the probe is answered.
+    bool alive() {
+        for (int i = 0; i < 500; ++i) {
+            Dialler dialler(loop, listen);
+            (void)runUntil(loop, [&] { return dialler.up || dialler.ended; });
+            if (!dialler.up) {
+                usleep(10000);
+                continue;
+            }
+            dialler.connection->write(protocol::frame(R"({"type":"probe"})"));
+            return runUntil(loop, [&] { return dialler.got == protocol::aliveAnswer() || dialler.ended; }) &&
+                   !dialler.ended;
+        }
+        return false;
+    }
+    // A relay that takes every order, with one proxy that stands.
+    static void takeAll(Scripted::Client& c) {
+        if (c.got == "WATCH\r\n") {
+            c.got.clear();
+            return c.say("OK\r\n* hello 1 a 5 0\r\n*\r\n");
+        }
+        if (c.got.size() < 2 || !c.got.ends_with("\r\n")) return;
+        c.say("OK " + std::to_string(1 + std::count(c.got.begin(), c.got.end(), ';')) + "\r\n");
+        c.got.clear();
+    }
+
+    transport::Loop loop;
+    std::string directory;
+    transport::Address listen;
+};
+
+TEST_F(ProgramTest, ConfigurationThatIsMissingOrBadEndsItWithOnePlainLine) {
+    std::ofstream(directory + "/bad.json") << "{\"name\":";
+    for (const std::string& path : {std::string(), directory + "/nowhere.json", directory + "/bad.json"}) {
+        Process process(path, directory);
+        EXPECT_EQ(process.end(0), 1) << path;
+    }
+    Json config = tests::smallConfigJson();
+    config["relay"]["address"] = "not an address";
+    Process process(writeConfig(config), directory);
+    EXPECT_EQ(process.end(0), 1);
+    const std::string errors = process.errors();
+    EXPECT_NE(errors.find("RELAY_CONFIG is not set\n"), std::string::npos) << errors;
+    EXPECT_NE(errors.find("relay.address is no address: not an address\n"), std::string::npos) << errors;
+}
+
+TEST_F(ProgramTest, TermEndsItCleanlyWhoeverIsMute) {
+    Scripted mute(loop);
+    Process process(writeConfig(config(mute.address(), mute.address())), directory);
+    ASSERT_TRUE(alive());
+    EXPECT_EQ(process.end(SIGTERM), 0);
+    EXPECT_NE(process.errors().find("phase: ended"), std::string::npos);
+}
+
+TEST_F(ProgramTest, AfterAKillItServesWhoStandsFromTheSameAddress) {
+    std::string orders;
+    Scripted relay(loop, [&](Scripted::Client& c) {
+        if (c.got.starts_with("APPLY")) orders += c.got;
+        takeAll(c);
+    });
+    Scripted discovery(loop);
+    const std::string path = writeConfig(config(relay.address(), discovery.address()));
+    for (int start = 0; start < 2; ++start) {
+        orders.clear();
+        Process process(path, directory);
+        EXPECT_TRUE(runUntil(loop, [&] { return orders.find("bind,1,") != std::string::npos; })) << start;
+        EXPECT_LT(orders.find("share,"), orders.find("bind,1,")) << "a table's lines come before its bind";
+        ASSERT_TRUE(alive());
+        EXPECT_EQ(process.end(SIGKILL), -SIGKILL);
+    }
+}
+
+// Whatever comes from any socket, the program goes on and answers.
+TEST_F(ProgramTest, GarbageFromEverySideDoesNotEndIt) {
+    std::mt19937 random(7);
+    const auto garbage = [&random] {
+        static const std::array<std::string, 14> pieces = {
+            "OK ",
+            "OK 1\r\n",
+            "\r\n",
+            "* hello 1 a 5 0\r\n",
+            "* ack 1 99999999999 1\r\n",
+            "* hello 70000 a 1 0\r\n",
+            "*\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "5\r\n{\"rev\r\n",
+            "ffffffff\r\n",
+            R"({"rev":9,"all":true,"targets":[{"uid":"s-1","state":"gone"}]})",
+            "BUSY\r\n",
+            "\xff\xfe",
+            "-1\r\n"};
+        std::string out;
+        for (int i = 0; i < 8; ++i) {
+            out += pieces[random() % pieces.size()];
+            if (random() % 3 == 0) out += std::string(1, static_cast<char>(random()));
+        }
+        return out;
+    };
+    const auto script = [&](Scripted::Client& c) {
+        c.say(garbage());
+        if (random() % 2 == 0) c.hangUp();
+    };
+    Scripted relay(loop, script), discovery(loop, script);
+    Process process(writeConfig(config(relay.address(), discovery.address())), directory);
+    ASSERT_TRUE(alive());
+    std::vector<std::unique_ptr<Dialler>> strangers;
+    for (int i = 0; i < 60; ++i) {
+        strangers.push_back(std::make_unique<Dialler>(loop, listen));
+        strangers.back()->connection->write(i % 2 == 0 ? garbage() : protocol::frame(garbage()));
+    }
+    const std::size_t before = relay.came();
+    EXPECT_TRUE(runUntil(loop, [&] { return relay.came() > before + 20 && discovery.came() > 5; }));
+    EXPECT_TRUE(alive());
+    EXPECT_TRUE(process.running()) << process.errors();
+    EXPECT_EQ(process.end(SIGTERM), 0) << process.errors();
+}
+
+// ---- The log ----
+
+TEST(Logs, EachTopicHasAnAllowanceAndWhatGoesOverItIsCounted) {
+    char* text = nullptr;
+    std::size_t size = 0;
+    std::FILE* file = open_memstream(&text, &size);
+    ASSERT_NE(file, nullptr);
+    {
+        program::Log log(file);
+        const program::Log::Time start{std::chrono::seconds{100}};
+        for (int i = 0; i < 50; ++i) log.line("loud", "again", start);
+        log.line("calm", "with\ncontrol \x01 characters", start);
+        log.line("loud", "later", start + std::chrono::seconds{11});
+        log.flush();
+    }
+    const std::string written(text, size);
+    std::fclose(file);
+    std::free(text);
+    std::size_t again = 0;
+    for (auto at = written.find("loud: again"); at != std::string::npos;
+         at = written.find("loud: again", at + 1))
+        ++again;
+    EXPECT_EQ(again, 10U);
+    EXPECT_NE(written.find("loud: 40 lines left out"), std::string::npos);
+    EXPECT_NE(written.find("calm: with?control ? characters\n"), std::string::npos);
+    EXPECT_NE(written.find("loud: later"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace marldale
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -173,8 +173,8 @@
 }
 
 TEST(Reports, Demand) {
-    const auto d = reportOf<Demand>(
-        R"({"type":"demand","id":17,"lane":"lookup","count":19,"fail":1,"over":1000.5})");
+    const auto d =
+        reportOf<Demand>(R"({"type":"demand","id":17,"lane":"lookup","count":19,"fail":1,"over":1000.5})");
     EXPECT_EQ(d.proxy, 17);
     EXPECT_EQ(d.klass, "lookup");
     EXPECT_EQ(d.came, 19U);
@@ -191,7 +191,8 @@
 
 TEST(Reports, BadOnesAreNone) {
     for (const char* text :
-         {"", "not json", "[]", "7", "{}", R"({"type":7})", R"({"type":"agent"})", R"({"type":"agent","site":1})",
+         {"", "not json", "[]", "7", "{}", R"({"type":7})", R"({"type":"agent"})",
+          R"({"type":"agent","site":1})",
           R"({"type":"demand","id":70000,"lane":"x","count":1,"fail":0,"over":1})",
           R"({"type":"demand","id":-1,"lane":"x","count":1,"fail":0,"over":1})",
           R"({"type":"demand","id":1.5,"lane":"x","count":1,"fail":0,"over":1})",
@@ -264,9 +265,10 @@
 }
 
 TEST(Catalog, ListThatCantBeReadIsNone) {
-    for (const char* text : {"", "[]", "{", R"({"rev":1,"all":true})", R"({"rev":-1,"all":true,"targets":[]})",
-                             R"({"all":true,"targets":[]})", R"({"rev":1,"targets":[]})",
-                             R"({"rev":1,"all":"yes","targets":[]})", R"({"rev":1,"all":true,"targets":{}})"}) {
+    for (const char* text :
+         {"", "[]", "{", R"({"rev":1,"all":true})", R"({"rev":-1,"all":true,"targets":[]})",
+          R"({"all":true,"targets":[]})", R"({"rev":1,"targets":[]})",
+          R"({"rev":1,"all":"yes","targets":[]})", R"({"rev":1,"all":true,"targets":{}})"}) {
         EXPECT_FALSE(parseCatalog(text)) << text;
     }
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -1,4 +1,5 @@
-// Between the sockets and the module, without sockets: names and numbers, the queue, calls, the module's thread.
+// Between the sockets and the module, without sockets: names and numbers, the queue, calls, the module's
+// thread.
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -94,9 +95,9 @@
 
 TEST_F(TranslatorTest, GoneServersThatWereNeverListedAreNoNews) {
     know({"s1"});
-    const auto news =
-        only<ListNews>(list(5, false, {{"s1", "", "", "", 0, ServerState::gone, 0, 0},
-                                       {"s9", "", "", "", 0, ServerState::gone, 0, 0}}));
+    const auto news = only<ListNews>(list(
+        5, false,
+        {{"s1", "", "", "", 0, ServerState::gone, 0, 0}, {"s9", "", "", "", 0, ServerState::gone, 0, 0}}));
     ASSERT_EQ(news.entries.size(), 1U);
     EXPECT_EQ(news.entries[0].state, ServerState::gone);
     EXPECT_EQ(news.entries[0].zone, 1) << "what it was stays known";
@@ -137,7 +138,8 @@
          {protocol::Report{protocol::Outcomes{"b", "s9", 1, 0, 1, 1, {}}},
           protocol::Report{protocol::Outcomes{"nowhere", "s1", 1, 0, 1, 1, {}}},
           protocol::Report{protocol::Demand{1, "odd", 1, 0, 1}},
-          protocol::Report{protocol::Demand{9, "lookup", 1, 0, 1}}, protocol::Report{protocol::AliveProbe{}}}) {
+          protocol::Report{protocol::Demand{9, "lookup", 1, 0, 1}},
+          protocol::Report{protocol::AliveProbe{}}}) {
         EXPECT_TRUE(events(report).empty());
     }
     EXPECT_EQ(only<ProxyDemand>(protocol::Report{protocol::Demand{8, "write it", 1, 0, 1}}).klass, 1);
@@ -284,9 +286,10 @@
 TEST_F(TranslatorTest, CostOfACallIsBoundedAsIfItConcernedEveryProxy) {
     know({"s1", "s2"});
     for (const std::uint16_t p : {1, 2, 3}) (void)events(hello(p));
-    // 3 heads and marks of 4 + 1 lines; 3 lines for each change; a bind brings 2 servers, 2 levels and itself.
-    EXPECT_EQ(translator.linesAtMost({SetLine{1, 0, 1}, Withdraw{0, true}, Bind{1, 1, 0}, Mark{1, false},
-                                      ArmTimer{1, 1}}),
+    // 3 heads and marks of 4 + 1 lines; 3 lines for each change; a bind brings 2 servers, 2 levels and
+    // itself.
+    EXPECT_EQ(translator.linesAtMost(
+                  {SetLine{1, 0, 1}, Withdraw{0, true}, Bind{1, 1, 0}, Mark{1, false}, ArmTimer{1, 1}}),
               3 * 5 + 2 * 3 + 5);
 }
 
@@ -404,7 +407,11 @@
         };
         out.probe = [](ServerId, const std::string&) {};
         out.fetchList = [] {};
-        out.startedOver = [] {};
+        out.startedOver = [this] {
+            const std::lock_guard lock(mutex);
+            ++startedOver;
+            changed.notify_all();
+        };
         return out;
     }
     // The orders of call `n`, as soon as it is there.
@@ -427,6 +434,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::vector<Orders> calls;
+    int startedOver = 0;
 };
 
 TEST_F(PlannerThreadTest, AJoinBecomesOneCallAndTheNextWaitsForItsEnd) {
@@ -444,6 +452,30 @@
     EXPECT_TRUE(has(call(1), "bind,2,"));
 }
 
+TEST_F(PlannerThreadTest, AModuleThatFailsStartsOverWithTheListAndMayFailAgain) {
+    int made = 0;
+    const PlannerThread::MakeModule make = [&]() -> PlannerThread::Module {
+        const int number = made++;
+        return [number](Micros, const std::vector<Event>& events) -> std::vector<Action> {
+            const bool joined = std::any_of(events.begin(), events.end(), [](const Event& e) {
+                return std::holds_alternative<ProxyJoined>(e);
+            });
+            if (number < 2 && joined) throw std::runtime_error("a defect");
+            const auto* list = std::get_if<ListNews>(&events.at(0));
+            if (number < 2 || !joined || list == nullptr) return {};
+            return {Bind{static_cast<ProxyId>(list->entries.size()), 1, 0}};
+        };
+    };
+    PlannerThread thread(smallConfig(), make, outlets(), kSilent);
+    for (int failure = 1; failure <= 2; ++failure) {
+        ASSERT_TRUE(thread.post(protocol::News{protocol::Hello{1, "a", 10, true}}));
+        std::unique_lock lock(mutex);
+        ASSERT_TRUE(changed.wait_for(lock, 10s, [&] { return startedOver == failure; }));
+    }
+    ASSERT_TRUE(thread.post(protocol::News{protocol::Hello{1, "a", 10, true}}));
+    EXPECT_EQ(call(0), Orders{"bind,2,1,*"}) << "the third module has been told both servers";
+}
+
 TEST_F(PlannerThreadTest, EndsWhileACallIsOut) {
     auto thread = std::make_unique<PlannerThread>(smallConfig(), outlets(), kSilent);
     ASSERT_TRUE(thread->post(protocol::News{protocol::Hello{1, "a", 10, true}}));
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -64,10 +64,11 @@
     };
     using Script = std::function<void(Client&)>;  // called whenever bytes have come
 
-    explicit Scripted(transport::Loop& loop, Script script = [](Client&) {})
-        : loop_(loop), script_(std::move(script)), listener_(loop, {"127.0.0.1", 0}, [this](int fd) {
-              accept(fd);
-          }) {}
+    explicit Scripted(
+        transport::Loop& loop, Script script = [](Client&) {})
+        : loop_(loop),
+          script_(std::move(script)),
+          listener_(loop, {"127.0.0.1", 0}, [this](int fd) { accept(fd); }) {}
 
     [[nodiscard]] transport::Address address() const { return {"127.0.0.1", listener_.port()}; }
     [[nodiscard]] std::size_t came() const { return clients_.size(); }
@@ -85,8 +86,8 @@
             script_(client);
         };
         handlers.ended = [&client](transport::Ended) { client.ended = true; };
-        client.connection = std::make_unique<transport::Connection>(loop_, fd, std::size_t{32} << 20U,
-                                                                    std::move(handlers));
+        client.connection =
+            std::make_unique<transport::Connection>(loop_, fd, std::size_t{32} << 20U, std::move(handlers));
     }
 
     transport::Loop& loop_;
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -30,7 +30,8 @@
 protected:
     void start(Scripted::Script script) {
         relay = std::make_unique<Scripted>(loop, std::move(script));
-        calls = std::make_unique<RelayCalls>(loop, relay->address(), settings, [this] { ++done; }, kSilent);
+        calls = std::make_unique<RelayCalls>(
+            loop, relay->address(), settings, [this] { ++done; }, kSilent);
     }
     // What all connections have received, one after the other.
     std::string heard() {
@@ -130,7 +131,8 @@
         const Scripted gone(loop);
         address = gone.address();
     }
-    calls = std::make_unique<RelayCalls>(loop, address, settings, [this] { ++done; }, kSilent);
+    calls = std::make_unique<RelayCalls>(
+        loop, address, settings, [this] { ++done; }, kSilent);
     calls->call({"clear,1"}, 10);
     std::unique_ptr<transport::Listener> late;
     std::vector<std::unique_ptr<transport::Connection>> accepted;
@@ -373,6 +375,7 @@
     std::vector<std::uint32_t> counts;
     Intake intake{loop,
                   {"127.0.0.1", 0},
+                  limits::kStrangersMost,
                   [this](Input input) {
                       counts.push_back(std::get<protocol::Demand>(std::get<protocol::Report>(input)).came);
                       return true;
@@ -383,7 +386,8 @@
 TEST_F(IntakeTest, ProbesAreAnsweredOnAnyConnectionEvenInPieces) {
     const auto one = dial();
     for (const char c : probe() + probe()) one->connection->write({&c, 1});
-    ASSERT_TRUE(runUntil(loop, [&] { return one->got == protocol::aliveAnswer() + protocol::aliveAnswer(); }));
+    ASSERT_TRUE(
+        runUntil(loop, [&] { return one->got == protocol::aliveAnswer() + protocol::aliveAnswer(); }));
     const auto two = dial();
     two->connection->write(agent());
     EXPECT_TRUE(answersProbes(*two));
@@ -414,7 +418,8 @@
 TEST_F(IntakeTest, FalseLengthsEndTheirConnectionAndNoOther) {
     const auto good = dial();
     good->connection->write(agent());
-    for (const std::string& length : {std::string(4, '\0'), std::string("\x01\0\x10\0", 4), std::string(4, '\xff')}) {
+    for (const std::string& length :
+         {std::string(4, '\0'), std::string("\x01\0\x10\0", 4), std::string(4, '\xff')}) {
         const auto bad = dial();
         bad->connection->write(agent() + length);
         EXPECT_TRUE(runUntil(loop, [&] { return bad->ended; }));
