--- a/src/routing/news_watch.cpp
+++ b/src/routing/news_watch.cpp
@@ -4,46 +4,36 @@
 
 NewsWatch::NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
                      std::function<bool(Input)> post, Logger log)
-    : loop_(loop),
-      relay_(std::move(relay)),
-      post_(std::move(post)),
+    : post_(std::move(post)),
       log_(std::move(log)),
       backoff_(seed),
       again_(loop, [this] { dial(); }),
       silence_(loop, [this] { lost("silent"); }),
-      reader_(limits::kNewsLineMost) {
+      link_(loop, std::move(relay), limits::kNewsLineMost, limits::kReplyBuffer, handlers()) {
     dial();
 }
 
-void NewsWatch::dial() {
-    phase_ = Phase::dialling;
-    reader_ = protocol::LineReader(limits::kNewsLineMost);
-    transport::Connection::Handlers handlers;
-    handlers.connected = [this] {
+LineLink::Handlers NewsWatch::handlers() {
+    LineLink::Handlers out;
+    out.up = [this] {
         phase_ = Phase::asked;
         silence_.after(limits::kNewsAnswer);
-        connection_->write(protocol::watchLine());
-    };
-    handlers.received = [this](std::string_view bytes) {
-        if (!reader_.feed(bytes, [this](std::string_view line) { return onLine(line); })) {
-            lost("a line without an end");
-        }
+        if (!link_.say(protocol::watchLine())) lost("its buffer is full");
     };
-    handlers.ended = [this](transport::Ended how) { lost(transport::name(how)); };
-    connection_ = std::make_unique<transport::Connection>(loop_, relay_, limits::kDial, limits::kReplyBuffer,
-                                                          std::move(handlers));
+    out.line = [this](std::string_view line) { return onLine(line); };
+    out.lost = [this](const std::string& why) { lost(why); };
+    return out;
 }
 
-void NewsWatch::drop() {
-    silence_.cancel();
-    if (!connection_) return;
-    connection_->close();
-    loop_.bury(std::move(connection_));
+void NewsWatch::dial() {
+    phase_ = Phase::dialling;
+    link_.dial();
 }
 
 void NewsWatch::lost(const std::string& why) {
     if (backoff_.failures() == 0) log_("news", "no news of proxies: " + why);
-    drop();
+    silence_.cancel();
+    link_.drop();
     again_.after(backoff_.failed());
 }
 
--- a/src/routing/news_watch.h
+++ b/src/routing/news_watch.h
@@ -2,14 +2,12 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 
-#include "protocol/lines.h"
 #include "protocol/relay.h"
 #include "routing/backoff.h"
+#include "routing/line_link.h"
 #include "routing/logger.h"
 #include "routing/translator.h"
-#include "transport/connection.h"
 
 namespace marldale::routing {
 
@@ -18,7 +16,6 @@
     // `post` says whether there was room.
     NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
               std::function<bool(Input)> post, Logger log);
-    ~NewsWatch() { drop(); }
     NewsWatch(const NewsWatch&) = delete;
     NewsWatch& operator=(const NewsWatch&) = delete;
 
@@ -27,20 +24,17 @@
 private:
     enum class Phase { dialling, asked, standing, live };
 
+    [[nodiscard]] LineLink::Handlers handlers();
     void dial();
-    void drop();
     void lost(const std::string& why);
     bool onLine(std::string_view line);
     bool give(Input input);
 
-    transport::Loop& loop_;
-    const transport::Address relay_;
     const std::function<bool(Input)> post_;
     const Logger log_;
     Backoff backoff_;
     transport::Timer again_, silence_;
-    std::unique_ptr<transport::Connection> connection_;
-    protocol::LineReader reader_;
+    LineLink link_;
     Phase phase_ = Phase::dialling;
 };
 
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -4,47 +4,31 @@
 
 RelayCalls::RelayCalls(transport::Loop& loop, transport::Address relay, const Settings& settings,
                        std::function<void()> done, Logger log)
-    : loop_(loop),
-      relay_(std::move(relay)),
-      done_(std::move(done)),
+    : done_(std::move(done)),
       log_(std::move(log)),
       backoff_(settings.seed),
-      again_(loop, [this] { ready_ ? send() : dial(); }),
+      again_(loop, [this] { ready_ ? send() : link_.dial(); }),
       answer_(loop, [this] { lost("no answer in time"); }),
-      reader_(limits::kAnswerLineMost),
+      link_(loop, std::move(relay), limits::kAnswerLineMost, limits::kCallBuffer, handlers()),
       guard_(settings) {
-    dial();
+    link_.dial();
 }
 
-void RelayCalls::call(std::vector<std::string> orders, double linesAtMost) {
-    pending_.emplace(std::move(orders));
-    linesAtMost_ = linesAtMost;
-    send();
-}
-
-void RelayCalls::dial() {
-    reader_ = protocol::LineReader(limits::kAnswerLineMost);
-    transport::Connection::Handlers handlers;
-    handlers.connected = [this] {
+LineLink::Handlers RelayCalls::handlers() {
+    LineLink::Handlers out;
+    out.up = [this] {
         ready_ = true;
         send();
     };
-    handlers.received = [this](std::string_view bytes) {
-        if (!reader_.feed(bytes, [this](std::string_view line) { return onLine(line); })) {
-            lost("an answer without an end");
-        }
-    };
-    handlers.ended = [this](transport::Ended how) { lost(transport::name(how)); };
-    connection_ = std::make_unique<transport::Connection>(loop_, relay_, limits::kDial, limits::kCallBuffer,
-                                                          std::move(handlers));
+    out.line = [this](std::string_view line) { return onLine(line); };
+    out.lost = [this](const std::string& why) { lost(why); };
+    return out;
 }
 
-void RelayCalls::drop() {
-    ready_ = asked_ = false;
-    answer_.cancel();
-    if (!connection_) return;
-    connection_->close();
-    loop_.bury(std::move(connection_));
+void RelayCalls::call(std::vector<std::string> orders, double linesAtMost) {
+    pending_.emplace(std::move(orders));
+    linesAtMost_ = linesAtMost;
+    send();
 }
 
 // The connection is of no use any more. One that ends while nothing is out was only idle: the relay closes
@@ -57,7 +41,9 @@
     } else if (!idle && backoff_.failures() <= 1) {  // further failures are counted, and told at the end
         log_("calls", "no relay: " + why);
     }
-    drop();
+    ready_ = asked_ = false;
+    answer_.cancel();
+    link_.drop();
     // Not at once: a relay that closes whatever it accepts must not make us spin.
     again_.after(idle ? limits::kRedialLeast : backoff_.failed());
 }
@@ -71,7 +57,7 @@
     guard_.sent(now, linesAtMost_);
     asked_ = true;
     answer_.after(limits::kAnswer);
-    if (!connection_->write(pending_->line())) lost("its buffer is full");
+    if (!link_.say(pending_->line())) lost("its buffer is full");
 }
 
 bool RelayCalls::onLine(std::string_view line) {
--- a/src/routing/relay_calls.h
+++ b/src/routing/relay_calls.h
@@ -2,17 +2,15 @@
 #pragma once
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "protocol/lines.h"
 #include "routing/backoff.h"
+#include "routing/line_link.h"
 #include "routing/logger.h"
 #include "routing/pending_call.h"
 #include "routing/resend_guard.h"
-#include "transport/connection.h"
 
 namespace marldale::routing {
 
@@ -20,7 +18,6 @@
 public:
     RelayCalls(transport::Loop& loop, transport::Address relay, const Settings& settings,
                std::function<void()> done, Logger log);
-    ~RelayCalls() { drop(); }
     RelayCalls(const RelayCalls&) = delete;
     RelayCalls& operator=(const RelayCalls&) = delete;
 
@@ -28,27 +25,23 @@
     void call(std::vector<std::string> orders, double linesAtMost);
 
 private:
-    void dial();
-    void drop();
+    [[nodiscard]] LineLink::Handlers handlers();
     void lost(const std::string& why);
     void send();
     bool onLine(std::string_view line);
     void settle(const PendingCall::Verdict& verdict);
 
-    transport::Loop& loop_;
-    const transport::Address relay_;
     const std::function<void()> done_;
     const Logger log_;
     Backoff backoff_;
     transport::Timer again_;   // to dial, or to send after BUSY
     transport::Timer answer_;  // an answer comes in time, or never
-    std::unique_ptr<transport::Connection> connection_;
+    LineLink link_;
     bool ready_ = false;  // the connection is up
     bool asked_ = false;  // a line is out on it
-    protocol::LineReader reader_;
     std::optional<PendingCall> pending_;
     double linesAtMost_ = 0;  // that it puts into the channel
-    bool unknown_ = false;    // whether its first copy was carried out
+    bool unknown_ = false;    // whether its last copy was carried out: it has no answer
     ResendGuard guard_;
 };
 
