A stranger is sent away after 10 s without a message, not 10 s after it came

Seen on reading the change: whoever keeps a connection open and probes now and then (a health check) was cut off after 10 s, and went first when there were many strangers. Wrong: Intake counted from the accept. The test of hundreds of strangers now has such a checker, and fails without the change.

--- a/src/routing/intake.cpp
+++ b/src/routing/intake.cpp
@@ -57,11 +57,7 @@
         kept = handle(guest, message);
         return kept;
     });
-    if (sound && kept) {
-        Guests& guests = listOf(guest);
-        if (guest->collector) guests.splice(guests.end(), guests, guest);
-        return;
-    }
+    if (sound && kept) return;
     if (!sound) log_("frames", "a length that no message has; its connection is ended");
     remove(guest);
 }
@@ -72,6 +68,10 @@
         log_("reports", "a message that can't be read is left out");
         return true;
     }
+    // Whoever says something that can be read has been heard from, also one that only probes now and then.
+    guest->since = SteadyTime::clock::now();
+    Guests& guests = listOf(guest);
+    guests.splice(guests.end(), guests, guest);
     if (std::holds_alternative<protocol::AliveProbe>(*report)) {
         return guest->connection->write(protocol::aliveAnswer());
     }
--- a/src/routing/intake.h
+++ b/src/routing/intake.h
@@ -31,7 +31,7 @@
     struct Guest {
         std::unique_ptr<transport::Connection> connection;
         protocol::FrameReader reader{limits::kStrangerFrame};
-        SteadyTime since;
+        SteadyTime since;  // when it was last heard from
         bool collector = false;
     };
     using Guests = std::list<Guest>;  // the one heard from longest ago comes first
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -369,8 +369,11 @@
                                std::to_string(count) + "}");
     }
     bool answersProbes(Dialler& dialler) {
+        const std::size_t before = dialler.got.size();
         dialler.connection->write(probe());
-        return runUntil(loop, [&] { return endsWith(dialler.got, protocol::aliveAnswer()); });
+        return runUntil(loop, [&] {
+            return dialler.got.size() > before && endsWith(dialler.got, protocol::aliveAnswer());
+        });
     }
 
     transport::Loop loop;
@@ -442,8 +445,13 @@
     const auto collector = dial();
     collector->connection->write(agent());
     ASSERT_TRUE(runUntil(loop, [&] { return intake.collectors() == 1; }));
+    const auto checker = dial();
+    ASSERT_TRUE(answersProbes(*checker));
     std::vector<std::unique_ptr<Dialler>> strangers;
     for (int i = 0; i < 400; ++i) {
+        if (i == 200) {
+            ASSERT_TRUE(answersProbes(*checker));
+        }
         strangers.push_back(dial());
         ASSERT_TRUE(runUntil(loop, [&] { return strangers.back()->up; }));
     }
@@ -451,6 +459,7 @@
     EXPECT_TRUE(answersProbes(*late));
     EXPECT_LE(intake.strangers(), limits::kStrangersMost);
     EXPECT_TRUE(strangers.front()->ended) << "the oldest has made room";
+    EXPECT_FALSE(checker->ended) << "one that probes now and then has been heard from since";
     EXPECT_TRUE(answersProbes(*collector)) << "no stranger pushes a collector out";
 }
 
