--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -23,7 +23,9 @@
     bool sound = true;
 };
 
-Fed feedFrames(FrameReader& reader, std::string_view bytes) {
+// Feeds a reader of frames or of lines.
+template <class Reader>
+Fed feed(Reader& reader, std::string_view bytes) {
     Fed out;
     out.sound = reader.feed(bytes, [&](std::string_view m) {
         out.messages.emplace_back(m);
@@ -42,7 +44,7 @@
     FrameReader reader;
     Texts got;
     for (const char c : bytes) {
-        const Fed fed = feedFrames(reader, {&c, 1});
+        const Fed fed = feed(reader, {&c, 1});
         ASSERT_TRUE(fed.sound);
         got.insert(got.end(), fed.messages.begin(), fed.messages.end());
     }
@@ -52,15 +54,15 @@
 
 TEST(Frames, LengthAboveTheBoundEndsTheStreamBeforeItsBytesAreHeld) {
     FrameReader reader;
-    const Fed fed = feedFrames(reader, std::string("\x01\x00\x10\x00", 4));  // 1 MiB and 1 byte
+    const Fed fed = feed(reader, std::string("\x01\x00\x10\x00", 4));  // 1 MiB and 1 byte
     EXPECT_FALSE(fed.sound);
     FrameReader exact;
-    EXPECT_TRUE(feedFrames(exact, std::string("\x00\x00\x10\x00", 4)).sound);
+    EXPECT_TRUE(feed(exact, std::string("\x00\x00\x10\x00", 4)).sound);
 }
 
 TEST(Frames, LengthOfZeroEndsTheStream) {
     FrameReader reader;
-    const Fed fed = feedFrames(reader, frame("good") + std::string(4, '\0') + frame("after"));
+    const Fed fed = feed(reader, frame("good") + std::string(4, '\0') + frame("after"));
     EXPECT_FALSE(fed.sound);
     EXPECT_EQ(fed.messages, Texts{"good"});
 }
@@ -88,28 +90,19 @@
 
 // ---- Lines ----
 
-Fed feedLines(LineReader& reader, std::string_view bytes) {
-    Fed out;
-    out.sound = reader.feed(bytes, [&](std::string_view line) {
-        out.messages.emplace_back(line);
-        return true;
-    });
-    return out;
-}
-
 TEST(Lines, EndInLfOrCrlfAndComeInPieces) {
     LineReader reader(100);
-    EXPECT_EQ(feedLines(reader, "OK 2\r").messages, Texts{});
-    EXPECT_EQ(feedLines(reader, "\n* bye 3\n\r\n*").messages, (Texts{"OK 2", "* bye 3", ""}));
-    EXPECT_EQ(feedLines(reader, "\r\n").messages, Texts{"*"});
+    EXPECT_EQ(feed(reader, "OK 2\r").messages, Texts{});
+    EXPECT_EQ(feed(reader, "\n* bye 3\n\r\n*").messages, (Texts{"OK 2", "* bye 3", ""}));
+    EXPECT_EQ(feed(reader, "\r\n").messages, Texts{"*"});
 }
 
 TEST(Lines, OneWithoutAnEndIsNotHeldBeyondTheBound) {
     LineReader reader(10);
-    EXPECT_TRUE(feedLines(reader, "0123456789").sound);
-    EXPECT_FALSE(feedLines(reader, "x").sound);
+    EXPECT_TRUE(feed(reader, "0123456789").sound);
+    EXPECT_FALSE(feed(reader, "x").sound);
     LineReader whole(10);
-    EXPECT_FALSE(feedLines(whole, "0123456789x\n").sound);
+    EXPECT_FALSE(feed(whole, "0123456789x\n").sound);
 }
 
 // ---- JSON ----
