Read once more: one handle for events, one way to the module, an unreadable answer judged before it is settled

libevent's deleter stood three times in loop.h; the daemon made the same post function twice; dropping an order stood twice in PendingCall; HttpGet kept a loop and Connection a question that nobody used. An answer that can't be read was marked as answered and then as asked again: it now keeps its call out until the connection is given up.

--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -75,28 +75,30 @@
     return out;
 }
 
+std::function<bool(routing::Input)> Daemon::toModule() {
+    return [this](routing::Input input) { return planner_->post(std::move(input)); };
+}
+
 void Daemon::stand() {
     planner_.emplace(config_, outlets(), logger_);
-    const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
     const transport::Address relay = addressOf(config_.relay, "relay.address");
     const std::uint64_t seed = config_.settings.seed;
     calls_.emplace(
         loop_, relay, config_.settings, [this] { planner_->callEnded(); }, logger_);
-    news_.emplace(loop_, relay, seed + 1, post, logger_);
-    catalog_.emplace(loop_, addressOf(config_.discovery, "discovery"), config_.known.rev, seed + 2, post,
-                     logger_);
-    prober_.emplace(loop_, !config_.settings.loadFields.empty(), post, logger_);
+    news_.emplace(loop_, relay, seed + 1, toModule(), logger_);
+    catalog_.emplace(loop_, addressOf(config_.discovery, "discovery"), config_.known.rev, seed + 2,
+                     toModule(), logger_);
+    prober_.emplace(loop_, !config_.settings.loadFields.empty(), toModule(), logger_);
 }
 
 void Daemon::serve() {
-    const auto post = [this](routing::Input input) { return planner_->post(std::move(input)); };
     // A quarter of the descriptors at most: collectors, probes and the platform's own connections need the
     // rest.
     const std::size_t strangers =
         config_.sockets == 0
             ? routing::limits::kStrangersMost
             : std::clamp<std::size_t>(config_.sockets / 4, 1, routing::limits::kStrangersMost);
-    intake_.emplace(loop_, addressOf(config_.listen, "listen"), strangers, post, logger_);
+    intake_.emplace(loop_, addressOf(config_.listen, "listen"), strangers, toModule(), logger_);
 }
 
 void Daemon::stop(const char* signal) {
--- a/src/program/daemon.h
+++ b/src/program/daemon.h
@@ -1,7 +1,7 @@
 // The program from start to exit: one object whose phases have names.
 #pragma once
 
-#include <memory>
+#include <functional>
 #include <optional>
 
 #include "program/log.h"
@@ -43,6 +43,7 @@
     void serve();
     void stop(const char* signal);
     [[nodiscard]] routing::PlannerThread::Outlets outlets();
+    [[nodiscard]] std::function<bool(routing::Input)> toModule();
 
     const protocol::Config config_;
     Log& log_;
--- a/src/routing/pending_call.cpp
+++ b/src/routing/pending_call.cpp
@@ -8,9 +8,7 @@
         advance(taken->orders);
         if (!halted) return {};
         // It halts at an order that it can't use, a proxy that has just left, say. The rest still counts.
-        Verdict verdict{Next::goOn, orders_[first_]};
-        advance(1);
-        return verdict;
+        return drop();
     }
     if (std::holds_alternative<protocol::Busy>(answer)) return {Next::waitAndSendAgain, {}};
     if (std::holds_alternative<protocol::Syntax>(answer)) {
@@ -19,11 +17,15 @@
             count_ /= 2;
             return {};
         }
-        Verdict verdict{Next::goOn, orders_[first_]};
-        advance(1);
-        return verdict;
+        return drop();
     }
     return {Next::sendAgainOnNewConnection, {}};
 }
 
+PendingCall::Verdict PendingCall::drop() {
+    Verdict verdict{Next::goOn, orders_[first_]};
+    advance(1);
+    return verdict;
+}
+
 }  // namespace marldale::routing
--- a/src/routing/pending_call.h
+++ b/src/routing/pending_call.h
@@ -28,6 +28,7 @@
     [[nodiscard]] std::size_t count() const { return count_; }
 
 private:
+    Verdict drop();  // of the next order
     void advance(std::size_t by) {
         first_ += by;
         count_ = protocol::ordersThatFit(orders_, first_);
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -65,22 +65,22 @@
         lost("a line that nobody asked for");
         return false;
     }
-    asked_ = false;
-    answer_.cancel();
     const auto answer = protocol::parseAnswer(line, pending_->count());
     if (std::holds_alternative<protocol::Syntax>(answer)) log_("calls", "the relay answers SYNTAX");
-    if (std::holds_alternative<protocol::Unreadable>(answer)) asked_ = true;
-    settle(pending_->answered(answer));
+    const auto verdict = pending_->answered(answer);
+    if (verdict.next == PendingCall::Next::sendAgainOnNewConnection) {
+        lost("an answer that can't be read");
+        return false;
+    }
+    asked_ = false;
+    answer_.cancel();
+    settle(verdict);
     return ready_;
 }
 
 void RelayCalls::settle(const PendingCall::Verdict& verdict) {
     if (!verdict.dropped.empty()) log_("calls", "an order was not taken and is dropped: " + verdict.dropped);
-    switch (verdict.next) {
-        case PendingCall::Next::sendAgainOnNewConnection: return lost("an answer that can't be read");
-        case PendingCall::Next::waitAndSendAgain: return again_.after(limits::kBusyAgain);
-        case PendingCall::Next::goOn: break;
-    }
+    if (verdict.next == PendingCall::Next::waitAndSendAgain) return again_.after(limits::kBusyAgain);
     if (const int failures = backoff_.succeeded(); failures > 0) {
         log_("calls", "the relay answers again, after " + std::to_string(failures) + " failures");
     }
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -34,7 +34,6 @@
     bool write(std::string_view bytes);
     // Ends it without a word: no handler is called any more.
     void close();
-    [[nodiscard]] bool open() const { return open_; }
 
 private:
     struct Free {
--- a/src/transport/http_get.cpp
+++ b/src/transport/http_get.cpp
@@ -21,9 +21,9 @@
 
 void HttpGet::Free::operator()(evhttp_connection* c) const { evhttp_connection_free(c); }
 
-HttpGet::HttpGet(Loop& loop, const Address& to, const std::string& path, HttpLimits limits, Handlers handlers)
-    : loop_(loop),
-      limits_(limits),
+HttpGet::HttpGet(const Loop& loop, const Address& to, const std::string& path, HttpLimits limits,
+                 Handlers handlers)
+    : limits_(limits),
       handlers_(std::move(handlers)),
       limit_(loop, [this] { end(HttpEnd::timeout, 0, {}); }) {
     limit_.after(limits.firstByte);
--- a/src/transport/http_get.h
+++ b/src/transport/http_get.h
@@ -32,7 +32,8 @@
         std::function<void(HttpEnd, int status, std::string_view body)> ended;
     };
 
-    HttpGet(Loop& loop, const Address& to, const std::string& path, HttpLimits limits, Handlers handlers);
+    HttpGet(const Loop& loop, const Address& to, const std::string& path, HttpLimits limits,
+            Handlers handlers);
     ~HttpGet();
     HttpGet(const HttpGet&) = delete;
     HttpGet& operator=(const HttpGet&) = delete;
@@ -48,7 +49,6 @@
     void onDone(evhttp_request* request);
     void end(HttpEnd how, int status, std::string_view body);
 
-    Loop& loop_;
     HttpLimits limits_;
     Handlers handlers_;
     HttpEnd failure_ = HttpEnd::unreachable;
--- a/src/transport/loop.h
+++ b/src/transport/loop.h
@@ -14,6 +14,12 @@
 
 using Millis = std::chrono::milliseconds;
 
+struct Free {
+    void operator()(event_base* b) const { event_base_free(b); }
+    void operator()(event* e) const { event_free(e); }
+};
+using EventHandle = std::unique_ptr<event, Free>;
+
 class Loop {
 public:
     Loop();
@@ -34,15 +40,10 @@
     [[nodiscard]] event_base* base() const { return base_.get(); }
 
 private:
-    struct Free {
-        void operator()(event_base* b) const { event_base_free(b); }
-        void operator()(event* e) const { event_free(e); }
-    };
-
     void runPosted();
 
     std::unique_ptr<event_base, Free> base_;
-    std::unique_ptr<event, Free> wake_;
+    EventHandle wake_;
     std::mutex mutex_;
     std::vector<std::function<void()>> posted_;
 };
@@ -57,11 +58,8 @@
     [[nodiscard]] bool pending() const;
 
 private:
-    struct Free {
-        void operator()(event* e) const { event_free(e); }
-    };
     std::function<void()> due_;
-    std::unique_ptr<event, Free> event_;
+    EventHandle event_;
 };
 
 // Calls back in the loop when the process gets a signal.
@@ -70,11 +68,8 @@
     Signal(const Loop& loop, int number, std::function<void()> came);
 
 private:
-    struct Free {
-        void operator()(event* e) const { event_free(e); }
-    };
     std::function<void()> came_;
-    std::unique_ptr<event, Free> event_;
+    EventHandle event_;
 };
 
 }  // namespace marldale::transport
