SIGHUP taken live, one rule of admission for strangers, two news watches merged

At fault: src/program/daemon.cpp had no handler; src/routing/intake.cpp counted a stranger's time from its last message, read reports without agent, let agents of unknown zones join and kept collectors whose bytes are no messages any more; src/routing/news_watch.cpp and translator.cpp knew one watch only, so that a break meant a join of everyone.

Now: SIGHUP is held from the first line of main on, repeats are one, the file is read again for 5 s where it can't be read; calls move when the one that is out is settled, the list's old watch stands until the new one speaks, the news is merged by counting each proxy's joins (routing/proxy_news), so a move is no news. A connection joins with an agent of a known zone within 1.1 s of connecting; anything but that and probe is told error and ends. A collector whose framing breaks is closed.

--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr transport::Millis kFlushEvery{1000};
+// A configuration that is being replaced may be missing or half-written for a moment.
+constexpr transport::Millis kReadAgain{100};
+constexpr int kReadsMost = 50;
 
 transport::Address addressOf(const std::string& text, const char* what) {
     const auto address = transport::parseAddress(text);
@@ -27,8 +30,9 @@
     return "?";
 }
 
-Daemon::Daemon(protocol::Config config, Log& log)
+Daemon::Daemon(protocol::Config config, ReadConfig read, Log& log)
     : config_(std::move(config)),
+      read_(std::move(read)),
       log_(log),
       logger_([&log](const char* topic, const std::string& text) { log.line(topic, text); }),
       flush_(loop_,
@@ -36,8 +40,14 @@
                  log_.flush();
                  flush_.after(kFlushEvery);
              }),
+      reload_(loop_, [this] { reload(); }),
       term_(loop_, SIGTERM, [this] { stop("SIGTERM"); }),
-      interrupt_(loop_, SIGINT, [this] { stop("SIGINT"); }) {
+      interrupt_(loop_, SIGINT, [this] { stop("SIGINT"); }),
+      // Several at once are one: the file is read afterwards.
+      hangUp_(loop_, SIGHUP, [this] {
+          readsLeft_ = kReadsMost;
+          reload_.after(transport::Millis{0});
+      }) {
     flush_.after(kFlushEvery);
 }
 
@@ -71,7 +81,7 @@
         loop_.post([this, server, endpoint = std::move(endpoint)] { prober_->probe(server, endpoint); });
     };
     out.fetchList = [this] { loop_.post([this] { catalog_->fetchList(); }); };
-    out.startedOver = [this] { loop_.post([this] { news_->startOver(); }); };
+    out.startedOver = [this] { loop_.post([this] { news_->tellAgain(); }); };
     return out;
 }
 
@@ -98,7 +108,37 @@
         config_.sockets == 0
             ? routing::limits::kStrangersMost
             : std::clamp<std::size_t>(config_.sockets / 4, 1, routing::limits::kStrangersMost);
-    intake_.emplace(loop_, addressOf(config_.listen, "listen"), strangers, toModule(), logger_);
+    intake_.emplace(loop_, addressOf(config_.listen, "listen"), config_.zones, strangers, toModule(),
+                    logger_);
+}
+
+// SIGHUP: the addresses of relay and discovery are taken from the file, whatever the environment named at the
+// start. The module, and all that it has learned, stays.
+void Daemon::reload() {
+    try {
+        moveTo(read_());
+    } catch (const std::exception& e) {
+        if (readsLeft_ == kReadsMost)
+            log_.line("reload", std::string("the old configuration holds: ") + e.what());
+        if (--readsLeft_ > 0) return reload_.after(kReadAgain);
+        log_.line("reload", "the file is given up until the next SIGHUP");
+    }
+}
+
+void Daemon::moveTo(const protocol::Config& config) {
+    const transport::Address relay = addressOf(config.relay, "relay.address");
+    const transport::Address discovery = addressOf(config.discovery, "discovery");
+    if (config.fixed != config_.fixed || config.listen != config_.listen || config.name != config_.name) {
+        log_.line("reload", "other settings have changed too; they hold from the next start on");
+    }
+    log_.line("reload", "relay " + config.relay + ", discovery " + config.discovery);
+    if (config.relay != config_.relay) {
+        calls_->moveTo(relay);
+        news_->moveTo(relay);
+    }
+    if (config.discovery != config_.discovery) catalog_->moveTo(discovery);
+    config_.relay = config.relay;
+    config_.discovery = config.discovery;
 }
 
 void Daemon::stop(const char* signal) {
--- a/src/program/daemon.h
+++ b/src/program/daemon.h
@@ -8,9 +8,9 @@
 #include "protocol/config.h"
 #include "routing/catalog_watch.h"
 #include "routing/intake.h"
-#include "routing/news_watch.h"
 #include "routing/planner_thread.h"
 #include "routing/prober.h"
+#include "routing/proxy_news.h"
 #include "routing/relay_calls.h"
 #include "transport/loop.h"
 
@@ -28,7 +28,10 @@
 
 class Daemon {
 public:
-    Daemon(protocol::Config config, Log& log);
+    using ReadConfig = std::function<protocol::Config()>;  // throws BadConfig
+
+    // `read` is asked again at every SIGHUP.
+    Daemon(protocol::Config config, ReadConfig read, Log& log);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -42,18 +45,22 @@
     void stand();
     void serve();
     void stop(const char* signal);
+    void reload();
+    void moveTo(const protocol::Config& config);
     [[nodiscard]] routing::PlannerThread::Outlets outlets();
     [[nodiscard]] std::function<bool(routing::Input)> toModule();
 
-    const protocol::Config config_;
+    protocol::Config config_;  // after the start only the addresses of relay and discovery change
+    const ReadConfig read_;
     Log& log_;
     const routing::Logger logger_;
     Phase phase_ = Phase::starting;
     transport::Loop loop_;
-    transport::Timer flush_;
-    transport::Signal term_, interrupt_;
+    transport::Timer flush_, reload_;
+    int readsLeft_ = 0;  // of a configuration that can't be read, before it is given up
+    transport::Signal term_, interrupt_, hangUp_;
     std::optional<routing::RelayCalls> calls_;
-    std::optional<routing::NewsWatch> news_;
+    std::optional<routing::ProxyNews> news_;
     std::optional<routing::CatalogWatch> catalog_;
     std::optional<routing::Prober> prober_;
     std::optional<routing::Intake> intake_;
--- a/src/protocol/config.cpp
+++ b/src/protocol/config.cpp
@@ -105,6 +105,7 @@
     out.discovery = required(object, "discovery");
     out.relay = required(part(object, "relay"), "address");
     if (const auto limits = object.find("limits"); limits != object.end() && limits->is_object()) {
+        out.fixed = limits->dump();
         out.sockets = wholeIn<std::uint32_t>(*limits, "sockets", 1U << 20U).value_or(0);
     }
     const Json& settings = part(object, "settings");
@@ -114,6 +115,7 @@
         throw BadConfig(e.what());
     }
     out.settings.seed = seedIn(object);
+    out.fixed += settings.dump();
     readNames(settings, out);
     const auto known = readCatalog(part(object, "known"));
     if (!known) throw BadConfig("the known list can't be read");
--- a/src/protocol/config.h
+++ b/src/protocol/config.h
@@ -20,6 +20,7 @@
     std::size_t sockets = 0;           // file descriptors allowed; 0: not told
     CatalogNews known;                 // the list as this planner had it most recently
     Settings settings;                 // with the seed
+    std::string fixed;                 // what holds from start to exit, as text, to compare it
     std::vector<std::string> zones;    // by index, as discovery and proxies call them
     std::vector<std::string> classes;  // by index, as orders and reports call them
     std::vector<std::string> kinds;    // by index
--- a/src/protocol/reports.cpp
+++ b/src/protocol/reports.cpp
@@ -4,7 +4,6 @@
 #include <limits>
 
 #include "protocol/frames.h"
-#include "protocol/json.h"
 
 namespace marldale::protocol {
 namespace {
@@ -56,8 +55,9 @@
 
 }  // namespace
 
-std::optional<Report> parseReport(std::string_view text) {
-    const Json object = parseJson(text);
+std::optional<Report> parseReport(std::string_view text) { return readReport(parseJson(text)); }
+
+std::optional<Report> readReport(const Json& object) {
     if (!object.is_object()) return std::nullopt;
     const auto type = textIn(object, "type");
     if (!type) return std::nullopt;
@@ -73,6 +73,7 @@
 }
 
 std::string aliveAnswer() { return frame(R"({"type":"alive"})"); }
+std::string errorAnswer() { return frame(R"({"type":"error","text":"probe, or join as an agent first"})"); }
 
 LoadValues parseLoadLine(std::string_view text) {
     LoadValues out;
--- a/src/protocol/reports.h
+++ b/src/protocol/reports.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <variant>
 
+#include "protocol/json.h"
+
 namespace marldale::protocol {
 
 using LoadValues = std::map<std::string, double, std::less<>>;  // by the name of the value
@@ -36,9 +38,11 @@
 
 // Nothing if the text is not one JSON object, or a field that it needs is absent or out of range.
 [[nodiscard]] std::optional<Report> parseReport(std::string_view text);
+[[nodiscard]] std::optional<Report> readReport(const Json& object);
 
-// `alive`, framed.
+// `alive` and `error`, framed.
 [[nodiscard]] std::string aliveAnswer();
+[[nodiscard]] std::string errorAnswer();
 
 // The line that a server's load page has: `TEXT inflight=7, queue=2, util=0.61`. What can't be read is
 // left out.
--- a/src/routing/catalog_watch.cpp
+++ b/src/routing/catalog_watch.cpp
@@ -15,57 +15,82 @@
       log_(std::move(log)),
       backoff_(seed),
       again_(loop, [this] { watch(); }),
-      rev_(knownRev),
-      reader_(limits::kListMost) {
+      rev_(knownRev) {
     watch();
 }
 
 CatalogWatch::~CatalogWatch() {
-    for (auto* get : {&watch_, &list_}) {
-        if (*get) (*get)->cancel();
+    for (auto* stream : {&watch_, &old_}) {
+        if (*stream) (*stream)->get->cancel();
     }
+    if (list_) list_->cancel();
 }
 
 void CatalogWatch::watch() {
     if (inDoubt_) fetchList();
-    reader_ = protocol::LineReader(limits::kListMost);
+    watch_ = std::make_unique<Stream>();
+    Stream* const stream = watch_.get();
     transport::HttpGet::Handlers handlers;
-    handlers.piece = [this](std::string_view bytes) {
-        if (!reader_.feed(bytes, [this](std::string_view line) { return onLine(line); })) {
-            lost("a line without an end");
+    handlers.piece = [this, stream](std::string_view bytes) {
+        if (!stream->reader.feed(bytes,
+                                 [this, stream](std::string_view line) { return onLine(stream, line); })) {
+            lost(stream, "a line without an end");
         }
     };
-    handlers.ended = [this](transport::HttpEnd how, int status, std::string_view) {
-        lost(how == transport::HttpEnd::answered && status != kHttpOk ? "status " + std::to_string(status)
-                                                                      : transport::name(how));
+    handlers.ended = [this, stream](transport::HttpEnd how, int status, std::string_view) {
+        lost(stream, how == transport::HttpEnd::answered && status != kHttpOk
+                         ? "status " + std::to_string(status)
+                         : transport::name(how));
     };
     // The answer's first piece may be the empty line of a quiet list.
     const transport::HttpLimits limits{limits::kWatchSilence, limits::kWatchSilence, limits::kListMost};
-    watch_ = std::make_unique<transport::HttpGet>(loop_, discovery_, protocol::catalogWatchPath(rev_), limits,
-                                                  std::move(handlers));
+    stream->get = std::make_unique<transport::HttpGet>(loop_, discovery_, protocol::catalogWatchPath(rev_),
+                                                       limits, std::move(handlers));
 }
 
-void CatalogWatch::lost(const std::string& why) {
-    if (backoff_.failures() == 0) log_("discovery", "the watch has ended: " + why);
-    if (watch_) {
-        watch_->cancel();
-        loop_.bury(std::move(watch_));
+void CatalogWatch::moveTo(const transport::Address& discovery) {
+    discovery_ = discovery;
+    if (watch_ && watch_->live) {
+        drop(old_);
+        old_ = std::move(watch_);
     }
+    drop(watch_);
+    backoff_.succeeded();
+    again_.after(transport::Millis{0});
+}
+
+void CatalogWatch::drop(std::unique_ptr<Stream>& stream) {
+    if (!stream) return;
+    stream->get->cancel();
+    loop_.bury(std::move(stream));
+}
+
+void CatalogWatch::lost(const Stream* stream, const std::string& why) {
+    if (stream == old_.get()) return drop(old_);
+    if (backoff_.failures() == 0) log_("discovery", "the watch has ended: " + why);
+    drop(watch_);
     again_.after(backoff_.failed());
 }
 
-bool CatalogWatch::onLine(std::string_view line) {
-    if (const int failures = backoff_.succeeded(); failures > 0) {
-        log_("discovery", "the watch stands again, after " + std::to_string(failures) + " failures");
+// Both watches may tell of the same change while we move; the version says which was first.
+bool CatalogWatch::onLine(Stream* stream, std::string_view line) {
+    stream->live = true;
+    if (stream == watch_.get()) {
+        if (const int failures = backoff_.succeeded(); failures > 0) {
+            log_("discovery", "the watch stands again, after " + std::to_string(failures) + " failures");
+        }
+        drop(old_);
     }
     if (line.empty()) return true;
     const auto news = protocol::parseCatalog(line);
     if (!news) {
         inDoubt_ = true;
-        lost("a line that can't be read");
+        lost(stream, "a line that can't be read");
         return false;
     }
-    return give(*news);
+    if (give(*news)) return true;
+    lost(stream, "no room for the list");
+    return false;
 }
 
 bool CatalogWatch::give(const protocol::CatalogNews& news) {
@@ -74,7 +99,6 @@
     }
     if (!post_(ListInput{news, false})) {
         inDoubt_ = true;
-        lost("no room for the list");
         return false;
     }
     rev_ = std::max(rev_, news.rev);
@@ -98,8 +122,7 @@
     const auto news = how == transport::HttpEnd::answered && status == kHttpOk ? protocol::parseCatalog(body)
                                                                                : std::nullopt;
     if (!news) return log_("discovery", std::string("the list can't be had: ") + transport::name(how));
-    inDoubt_ = false;
-    give(*news);
+    inDoubt_ = !give(*news);
 }
 
 }  // namespace marldale::routing
--- a/src/routing/catalog_watch.h
+++ b/src/routing/catalog_watch.h
@@ -22,24 +22,33 @@
     CatalogWatch& operator=(const CatalogWatch&) = delete;
 
     void fetchList();
+    // From here on the list is had there. The old watch stays until the new one has said something.
+    void moveTo(const transport::Address& discovery);
 
 private:
+    struct Stream {
+        protocol::LineReader reader{limits::kListMost};
+        std::unique_ptr<transport::HttpGet> get;
+        bool live = false;  // it has said something
+    };
+
     void watch();
-    void lost(const std::string& why);
-    bool onLine(std::string_view line);
+    void lost(const Stream* stream, const std::string& why);
+    void drop(std::unique_ptr<Stream>& stream);
+    bool onLine(Stream* stream, std::string_view line);
     bool give(const protocol::CatalogNews& news);
     void onList(transport::HttpEnd how, int status, std::string_view body);
 
     transport::Loop& loop_;
-    const transport::Address discovery_;
+    transport::Address discovery_;
     const std::function<bool(Input)> post_;
     const Logger log_;
     Backoff backoff_;
     transport::Timer again_;
     std::uint64_t rev_;
     bool inDoubt_ = false;  // a part could not be read: the next thing asked for is the whole list
-    protocol::LineReader reader_;
-    std::unique_ptr<transport::HttpGet> watch_, list_;
+    std::unique_ptr<Stream> watch_, old_;  // the old one leads to an address that is no longer ours
+    std::unique_ptr<transport::HttpGet> list_;
 };
 
 }  // namespace marldale::routing
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -25,6 +25,7 @@
 inline constexpr Millis kNewsSilence{2200};
 inline constexpr Millis kNewsAnswer{400};
 inline constexpr std::size_t kNewsLineMost = 1024;
+inline constexpr std::size_t kNewsWatches = 2;  // the break of one costs nothing while the other stands
 
 // Discovery. PROTOCOL: a watch has an empty line every 2 s, and what it has to tell counts as told after 6 s.
 inline constexpr Millis kWatchSilence{2700};
@@ -37,11 +38,14 @@
 inline constexpr std::size_t kProbeBodyMost = 4096;
 
 // Connections at our address. Strangers who never say who they are must not use up the descriptors or the
-// memory: they hold little, not for long, and the oldest goes when there are too many.
+// memory: they hold little, not for long, and the oldest goes when there are too many. LATER: one that has
+// not joined within 1 s may be closed, and within 3 s it must be.
 inline constexpr std::size_t kStrangersMost = 256;
 inline constexpr std::size_t kStrangerFrame = 4096;
-inline constexpr Millis kStrangerStays{10000};
-inline constexpr std::size_t kCollectorsMost = 64;  // a zone has one; more are left over from breaks
+inline constexpr Millis kJoinWithin{1100};
+inline constexpr std::size_t kCollectorsOfZone = 4;  // it has one; the others are left over from breaks
+inline constexpr Millis kHalfMessage{2000};          // of a collector: its bytes come at once, or never
+inline constexpr Millis kSweepEvery{100};
 inline constexpr std::size_t kReplyBuffer = 4096;
 
 // Turns. What the relay and the collectors tell of one moment arrives spread over a few milliseconds. The
--- a/src/routing/line_link.h
+++ b/src/routing/line_link.h
@@ -26,12 +26,13 @@
     LineLink& operator=(const LineLink&) = delete;
 
     void dial();
+    void moveTo(transport::Address to) { to_ = std::move(to); }  // holds from the next dial on
     void drop();  // without a word to the owner; also from within its handlers
     [[nodiscard]] bool say(std::string_view line) { return connection_ && connection_->write(line); }
 
 private:
     transport::Loop& loop_;
-    const transport::Address to_;
+    transport::Address to_;
     const std::size_t lineMost_, outputMost_;
     const Handlers handlers_;
     protocol::LineReader reader_;
--- a/src/routing/news_watch.cpp
+++ b/src/routing/news_watch.cpp
@@ -1,19 +1,21 @@
 #include "routing/news_watch.h"
 
+#include <utility>
+
 namespace marldale::routing {
 
-NewsWatch::NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
-                     std::function<bool(Input)> post, Logger log)
-    : post_(std::move(post)),
+NewsWatch::NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed, Handlers handlers,
+                     Logger log)
+    : handlers_(std::move(handlers)),
       log_(std::move(log)),
       backoff_(seed),
       again_(loop, [this] { dial(); }),
       silence_(loop, [this] { lost("silent"); }),
-      link_(loop, std::move(relay), limits::kNewsLineMost, limits::kReplyBuffer, handlers()) {
+      link_(loop, std::move(relay), limits::kNewsLineMost, limits::kReplyBuffer, linkHandlers()) {
     dial();
 }
 
-LineLink::Handlers NewsWatch::handlers() {
+LineLink::Handlers NewsWatch::linkHandlers() {
     LineLink::Handlers out;
     out.up = [this] {
         phase_ = Phase::asked;
@@ -25,23 +27,22 @@
     return out;
 }
 
-void NewsWatch::dial() {
-    phase_ = Phase::dialling;
-    link_.dial();
-}
+void NewsWatch::dial() { link_.dial(); }
 
 void NewsWatch::lost(const std::string& why) {
     if (backoff_.failures() == 0) log_("news", "no news of proxies: " + why);
     silence_.cancel();
     link_.drop();
     again_.after(backoff_.failed());
+    const Phase before = std::exchange(phase_, Phase::dialling);
+    if (before == Phase::standing || before == Phase::live) handlers_.lost();
 }
 
-bool NewsWatch::give(Input input) {
-    if (post_(std::move(input))) return true;
-    // What stands is told again on a new connection, so nothing is lost for good.
-    lost("no room for news");
-    return false;
+void NewsWatch::stop() {
+    phase_ = Phase::stopped;
+    silence_.cancel();
+    again_.cancel();
+    link_.drop();
 }
 
 bool NewsWatch::onLine(std::string_view line) {
@@ -52,7 +53,8 @@
         }
         phase_ = Phase::standing;
         silence_.after(limits::kNewsSilence);
-        return give(StandingBegins{});
+        handlers_.begins();
+        return true;
     }
     const auto news = protocol::parseNews(line);
     if (!news) {
@@ -61,14 +63,17 @@
         return false;
     }
     silence_.after(limits::kNewsSilence);
-    if (!std::holds_alternative<protocol::SignOfLife>(*news)) return give(*news);
-    if (phase_ == Phase::live) return true;
     // What stands is written before anything else, so with the first sign of life it has all come.
-    phase_ = Phase::live;
-    if (const int failures = backoff_.succeeded(); failures > 0) {
-        log_("news", "news again, after " + std::to_string(failures) + " failures");
+    if (std::holds_alternative<protocol::SignOfLife>(*news) && phase_ == Phase::standing) {
+        phase_ = Phase::live;
+        if (const int failures = backoff_.succeeded(); failures > 0) {
+            log_("news", "news again, after " + std::to_string(failures) + " failures");
+        }
+        handlers_.stands();
+    } else {
+        handlers_.line(*news);
     }
-    return give(StandingEnds{});
+    return phase_ == Phase::standing || phase_ == Phase::live;  // the owner may have let go of it meanwhile
 }
 
 }  // namespace marldale::routing
--- a/src/routing/news_watch.h
+++ b/src/routing/news_watch.h
@@ -1,4 +1,4 @@
-// The relay's news of proxies. Silence ends a connection as surely as a break does.
+// One watch of the relay's news. Silence ends a connection as surely as a break does.
 #pragma once
 
 #include <functional>
@@ -7,30 +7,35 @@
 #include "routing/backoff.h"
 #include "routing/line_link.h"
 #include "routing/logger.h"
-#include "routing/translator.h"
 
 namespace marldale::routing {
 
 class NewsWatch {
 public:
-    // `post` says whether there was room.
-    NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed,
-              std::function<bool(Input)> post, Logger log);
+    struct Handlers {
+        std::function<void()> begins;                     // what stands follows
+        std::function<void(const protocol::News&)> line;  // a proxy, or a sign of life
+        std::function<void()> stands;                     // all that stands has been told
+        std::function<void()> lost;                       // it is dialled again by itself
+    };
+
+    NewsWatch(transport::Loop& loop, transport::Address relay, std::uint64_t seed, Handlers handlers,
+              Logger log);
     NewsWatch(const NewsWatch&) = delete;
     NewsWatch& operator=(const NewsWatch&) = delete;
 
-    void startOver() { lost("asked to start over"); }
+    void startOver(const std::string& why) { lost(why); }
+    void stop();  // for good, and without a word to the owner
 
 private:
-    enum class Phase { dialling, asked, standing, live };
+    enum class Phase { dialling, asked, standing, live, stopped };
 
-    [[nodiscard]] LineLink::Handlers handlers();
+    [[nodiscard]] LineLink::Handlers linkHandlers();
     void dial();
     void lost(const std::string& why);
     bool onLine(std::string_view line);
-    bool give(Input input);
 
-    const std::function<bool(Input)> post_;
+    const Handlers handlers_;
     const Logger log_;
     Backoff backoff_;
     transport::Timer again_, silence_;
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -31,6 +31,18 @@
     send();
 }
 
+void RelayCalls::moveTo(const transport::Address& relay) {
+    link_.moveTo(relay);
+    moved_ = true;
+    if (!asked_) redial();
+}
+
+void RelayCalls::redial() {
+    ready_ = moved_ = false;
+    link_.drop();
+    again_.after(transport::Millis{0});  // from the loop: a line of the old connection may be in hand
+}
+
 // The connection is of no use any more. One that ends while nothing is out was only idle: the relay closes
 // those, and the next call shall find a new one standing.
 void RelayCalls::lost(const std::string& why) {
@@ -41,7 +53,7 @@
     } else if (!idle && backoff_.failures() <= 1) {  // further failures are counted, and told at the end
         log_("calls", "no relay: " + why);
     }
-    ready_ = asked_ = false;
+    ready_ = asked_ = moved_ = false;
     answer_.cancel();
     link_.drop();
     // Not at once: a relay that closes whatever it accepts must not make us spin.
@@ -80,7 +92,11 @@
 
 void RelayCalls::settle(const PendingCall::Verdict& verdict) {
     if (!verdict.dropped.empty()) log_("calls", "an order was not taken and is dropped: " + verdict.dropped);
-    if (verdict.next == PendingCall::Next::waitAndSendAgain) return again_.after(limits::kBusyAgain);
+    if (moved_) {
+        redial();
+    } else if (verdict.next == PendingCall::Next::waitAndSendAgain) {
+        return again_.after(limits::kBusyAgain);
+    }
     if (const int failures = backoff_.succeeded(); failures > 0) {
         log_("calls", "the relay answers again, after " + std::to_string(failures) + " failures");
     }
--- a/src/routing/relay_calls.h
+++ b/src/routing/relay_calls.h
@@ -24,12 +24,16 @@
     // Only when no call is out. `done` follows when all its orders are settled.
     void call(std::vector<std::string> orders, double linesAtMost);
 
+    // From here on the relay is there. A call that is out is settled where it went, or sent again there.
+    void moveTo(const transport::Address& relay);
+
 private:
     [[nodiscard]] LineLink::Handlers handlers();
     void lost(const std::string& why);
     void send();
     bool onLine(std::string_view line);
     void settle(const PendingCall::Verdict& verdict);
+    void redial();
 
     const std::function<void()> done_;
     const Logger log_;
@@ -39,6 +43,7 @@
     LineLink link_;
     bool ready_ = false;  // the connection is up
     bool asked_ = false;  // a line is out on it
+    bool moved_ = false;  // and it leads to an address that is no longer ours
     std::optional<PendingCall> pending_;
     double linesAtMost_ = 0;  // that it puts into the channel
     bool unknown_ = false;    // whether its last copy was carried out: it has no answer
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -41,19 +41,6 @@
         Translator& self;
         std::vector<Event>& out;
         void operator()(const ListInput& i) const { self.list(i, out); }
-        void operator()(const StandingBegins&) const { self.standing_.emplace(); }
-        void operator()(const StandingEnds&) const {
-            if (!self.standing_) return;
-            for (auto at = self.joined_.begin(); at != self.joined_.end();) {
-                if (self.standing_->count(*at)) {
-                    ++at;
-                    continue;
-                }
-                out.emplace_back(ProxyLeft{*at});
-                at = self.joined_.erase(at);
-            }
-            self.standing_.reset();
-        }
         void operator()(const protocol::News& n) const { self.proxyNews(n, out); }
         void operator()(const protocol::Report& r) const { self.report(r, out); }
         void operator()(const ProbeEnded& p) const {
@@ -178,12 +165,8 @@
                                     " left out: unknown");
         }
         joined_.insert(hello->proxy);
-        if (standing_) standing_->insert(hello->proxy);
-        // After a gap this may be a stream that still stands or a new one. It is taken for new: a proxy that
-        // left and came back is bound to none of our tables and would never hear of a change.
         out.emplace_back(ProxyJoined{hello->proxy, *zone, hello->rate, hello->fresh});
     } else if (const auto* bye = std::get_if<protocol::Bye>(&news)) {
-        if (standing_) standing_->erase(bye->proxy);
         if (joined_.erase(bye->proxy) > 0) out.emplace_back(ProxyLeft{bye->proxy});
     } else if (const auto* ack = std::get_if<protocol::Ack>(&news)) {
         if (joined_.count(ack->proxy)) out.emplace_back(Acknowledged{ack->proxy, ack->mark, ack->tookUs});
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -23,8 +23,6 @@
     protocol::CatalogNews news;
     bool cached = false;
 };
-struct StandingBegins {};  // the news starts anew: what stands follows
-struct StandingEnds {};    // who has not been named in it has left
 struct ProbeEnded {
     ServerId server = 0;
     ProbeOutcome outcome = ProbeOutcome::other;
@@ -32,8 +30,7 @@
     protocol::LoadValues load;
 };
 
-using Input =
-    std::variant<ListInput, StandingBegins, StandingEnds, protocol::News, protocol::Report, ProbeEnded>;
+using Input = std::variant<ListInput, protocol::News, protocol::Report, ProbeEnded>;
 
 class Translator {
 public:
@@ -78,7 +75,6 @@
     std::unordered_map<std::string, ServerId> numbers_;
     std::uint64_t rev_ = 0;
     std::set<ProxyId> joined_;
-    std::optional<std::set<ProxyId>> standing_;  // named so far, while what stands is being told
 };
 
 }  // namespace marldale::routing
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -80,6 +80,24 @@
     loop_.bury(std::move(stream_));
 }
 
+void Connection::close(std::string_view lastWord) {
+    if (open_ && write(lastWord)) {
+        evbuffer* const output = bufferevent_get_output(stream_.get());
+        evbuffer_unfreeze(output, 1);  // libevent keeps it for itself while the connection stands
+        evbuffer_write(output, bufferevent_getfd(stream_.get()));
+    }
+    close();
+}
+
+void Connection::readNow() {
+    if (!open_) return;
+    evbuffer* const input = bufferevent_get_input(stream_.get());
+    evbuffer_unfreeze(input, 0);
+    evbuffer_read(input, bufferevent_getfd(stream_.get()), -1);
+    evbuffer_freeze(input, 0);
+    onRead();
+}
+
 void Connection::onRead() {
     std::array<char, 16384> piece{};
     while (open_) {
--- a/src/transport/connection.h
+++ b/src/transport/connection.h
@@ -34,6 +34,10 @@
     bool write(std::string_view bytes);
     // Ends it without a word: no handler is called any more.
     void close();
+    // Ends it with a last word, as far as the system takes it at once: nobody is waited for.
+    void close(std::string_view lastWord);
+    // Hands on what has come and was not read yet; for whoever must decide now.
+    void readNow();
 
 private:
     struct Free {
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -9,7 +9,7 @@
 namespace marldale::transport {
 namespace {
 
-constexpr int kBacklog = 128;        // connections that wait to be accepted
+constexpr int kBacklog = 1024;       // hundreds may come at once; one that finds no place waits for a second
 constexpr Millis kAcceptAgain{100};  // pause when the process is out of descriptors
 
 }  // namespace
