Demand that is not reported again fades; the module forgets servers that have gone; beliefs traced

Nobody reports that nothing came, so a pair with one request in 2 s stood at 0.5 a second for good. The limit is shared out over that picture and lifted only above 1.2 times it: refused 33%, then 60%, at answers of 140 ms. At fault: Demands in src/state.h, on(ProxyDemand) in src/policy.cpp. Ruled out: real overload (27 tries a second, 7 in flight, median 140 ms while 60% were refused), a proxy counted twice (75 each).

Servers that have gone, are withdrawn and stand in no table leave the fleet, their sums and their column; of 256 it is remembered that they were shut out. They counted in the size of tables (tableLines, spillTo) and in the proof of an ejection. The translator remembers 256 gone uids; its numbers are 32 bits and never used twice. Spill and readyIn moved to state.h (records).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,10 +1,8 @@
-// marldale's decisions. The interface (settings, events, actions) is policy.h;
-// no wire is known here.
+// marldale's decisions. The interface (settings, events, actions) is policy.h; no wire is known here.
 //
-// Parts, in this order, each owning its state:
-//   1 fleet view   2 table store and push   3 pacer   4 withdrawals   5 slow
-//   start   6 health 7 levels and retries   8 joins and restart; last, sites
-//   with slices.
+// Parts, in this order, each owning its state: 1 fleet view   2 table store and push   3 pacer   4
+// withdrawals
+//   5 slow start   6 health   7 levels and retries   8 joins and restart; last, sites with slices.
 #include "policy.h"
 
 #include <algorithm>
@@ -33,21 +31,20 @@
 constexpr double kRampFrom = 0.25;        // weight of a server that has just started
 constexpr Micros kRampStep = 2 * kSecond;
 constexpr double kColdOpen = 0.65, kColdShut = 0.5;  // part of the calm picture that lets cold ones in
-constexpr double kTipPerLoad = 2.5;        // load that a ramp may meet, as a part of the tip multiple
-constexpr double kFewTries = 10;           // fewer say nothing about a fleet or a zone
-constexpr double kStatHalfLifeS = 2.5;     // health sums fade with this half-life
-constexpr double kEjectRatio = 0.5;        // share of failed tries at which a server is ejected
-constexpr double kDeadRatio = 0.9;         // what it takes when many fail or all are slow
-constexpr double kEjectTries = 4;          // on at least so many recent tries
-constexpr double kLeastFailing = 0.02;     // share of tries that fails at any server
-constexpr double kTrialTries = 2;          // or so many of a trickle
-constexpr double kLinkHalfLifeS = 1;       // sums of a link fade faster: it has many tries
-constexpr double kRecovered = 0.2;         // fewer failures in a trial: it is over at once
-constexpr double kLinkRatio = 0.75;        // share of tries across zones failing that proves a cut
-constexpr double kHomeFails = 0.3;         // a zone's own servers fail less: the link is to blame
-constexpr double kEjectMost = 0.3;         // of the ready servers, at most this share is ejected
-constexpr Micros kEjectFor = 4 * kSecond;  // and then a trial
-constexpr double kTrialWeight = 0.1;       // trickle to a server that may have recovered
+constexpr double kTipPerLoad = 2.5;     // load that a ramp may meet, as a part of the tip multiple
+constexpr double kFewTries = 10;        // fewer say nothing about a fleet or a zone
+constexpr double kStatHalfLifeS = 2.5;  // health sums fade with this half-life
+constexpr double kEjectRatio = 0.5;     // share of failed tries at which a server is ejected
+constexpr double kDeadRatio = 0.9;      // what it takes when many fail or all are slow
+constexpr double kEjectTries = 4, kTrialTries = 2;  // on at least so many recent tries, of a trickle
+constexpr double kLeastFailing = 0.02;              // share of tries that fails at any server
+constexpr double kLinkHalfLifeS = 1;                // sums of a link fade faster: it has many tries
+constexpr double kRecovered = 0.2;                  // fewer failures in a trial: it is over at once
+constexpr double kLinkRatio = 0.75;                 // share of tries across zones failing that proves a cut
+constexpr double kHomeFails = 0.3;                  // a zone's own servers fail less: the link is to blame
+constexpr double kEjectMost = 0.3;                  // of the ready servers, at most this share is ejected
+constexpr Micros kEjectFor = 4 * kSecond;           // and then a trial
+constexpr double kTrialWeight = 0.1;                // trickle to a server that may have recovered
 constexpr Micros kTrialFor = 4 * kSecond;
 constexpr double kShiftPower = 0.7;  // how strongly a server's slowness moves its weight
 constexpr double kLean = 0.05;       // how fast weight leans away from slow zones, a second
@@ -62,25 +59,24 @@
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
-constexpr double kCycleGain = 0.05;
-constexpr double kIntakeFull = 0.8;   // of the intake: from here on sums come late
-constexpr double kLeastSpanS = 0.1;   // guards a rate against a span of nothing
-constexpr double kProvenFade = 0.98;  // a window
-constexpr double kLiftAt = 1.2;       // of what comes: a limit above it is lifted
-constexpr double kLimitFloor = 0.8;   // of the proven rate: no limit goes below this
+constexpr double kCycleGain = 0.05, kIntakeFull = 0.8;  // of the intake: from here on sums come late
+constexpr double kLeastSpanS = 0.1;                     // guards a rate against a span of nothing
+constexpr double kProvenFade = 0.98;                    // a window
+constexpr double kLiftAt = 1.2;                         // of what comes: a limit above it is lifted
+constexpr double kLimitFloor = 0.8;                     // of the proven rate: no limit goes below this
 constexpr double kUnlimited = 1e6;
 constexpr double kClassLeast = 0.02;  // and this much in any case
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
 constexpr double kCoolTime = 0.3;     // mean answer time, in tightest aims, of a zone with slack
 constexpr double kHotTime = 0.45;
-constexpr double kQueueing = 1.6,
-                 kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
+constexpr double kQueueing = 1.6, kCalmOfBase = 1.3;  // of the best answer time: a zone queues, is calm
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kLostMost = 0.1;    // of a zone's weight ejected: it needs the others
 constexpr double kSpillStep = 0.05, kSpillGain = 3;  // of flows, a tick
 constexpr double kFlowBack = 0.02;  // of a step: how fast flows recede where nothing is known against them
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
+constexpr std::size_t kShutKept = 256;  // withdrawn servers that have gone, remembered for their return
 constexpr double kLevelWorth = 1e6, kUrgentWorth = 1e9;
 
 // Factors move in steps of a quarter octave, so that noise in what they come from sends no orders.
@@ -106,6 +102,7 @@
         for (const ListEntry& entry : news.entries) {
             named.insert(entry.server);
             Server& s = fleet[entry.server];
+            s.withdrawn = s.withdrawn || shut.erase(entry.server) > 0;
             if (entry.bootTime > s.entry.bootTime) forget(entry.server);
             s.entry = entry;
         }
@@ -114,6 +111,18 @@
             if (!named.count(id)) server.entry.state = ServerState::gone;  // not in a whole list
         }
     }
+    // What has gone takes all that was known of it along: a fleet that is replaced all day must not gather.
+    std::set<ServerId> shut;  // of these: should one come back under its old id, it has to be let back
+    void bury() {
+        std::erase_if(fleet, [this](const auto& at) {
+            const auto& [id, s] = at;
+            if (s.entry.state != ServerState::gone || !s.withdrawn || anyHolds(tables, id)) return false;
+            forget(id);
+            columns.drop(id, s);
+            return shut.insert(id).second;
+        });
+        while (shut.size() > kShutKept) shut.erase(shut.begin());
+    }
     void askForList() {
         if (set.listOnRequest) out.push_back(Subscribe{true});
     }
@@ -456,6 +465,7 @@
         told = 0;
         const bool full = set.reportsPerS > 0 && toldRate > kIntakeFull * set.reportsPerS;
         cycle = full ? std::max(static_cast<Micros>(span), set.reportEvery) : set.reportEvery;
+        demands.fade(now, cycle, cycle / 2, demandGain());
     }
     void note(Health& h, const ServerSums& r, double halfLifeS) const {
         if (now < h.countFrom) return;
@@ -520,8 +530,7 @@
         // only servers that answer all but nothing are ejected, and nobody once half of them fail.
         const bool panic = usual > kEjectRatio;
         const double proof = overloaded ? kDeadRatio : std::clamp(3 * usual, kEjectRatio, kDeadRatio);
-        double ready = 0;
-        for (const auto& [id, s] : fleet) ready += s.ready();
+        const auto ready = static_cast<double>(readyIn(fleet));
         for (auto& [key, h] : healths) {
             if (linkOf(key.first, fleet.at(key.second).entry.zone) < 1) h.seen = {};  // the link is to blame
             ejected[key.first] +=
@@ -573,11 +582,6 @@
 
     // A zone's own servers carry its requests while they have slack. The exception: where they are proven
     // hot, or nothing is proven yet, the zone's table also holds the other zones' lines.
-    struct Spill {
-        double share = 1;
-        double base = 0;  // the best answer time that its servers have shown
-        Micros calmSince = 0;
-    };
     std::map<ZoneId, Spill> spills;
     std::map<std::pair<ZoneId, ZoneId>, double> flows;  // where lines are dear: by zones, from and to
     [[nodiscard]] double spillOf(ZoneId zone) const {
@@ -651,11 +655,13 @@
     void on(const ProxyDemand& d) {
         ++told;
         if (!proxies.count(d.proxy) || d.klass >= set.classes.size() || d.period <= 0) return;
-        double& mine = demands.rates[{d.proxy, d.klass}];
+        auto& mine = demands.rates[{d.proxy, d.klass}];
         const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
-        // A late sum speaks for all the periods that it covers.
-        const double gain = kDemandGain * static_cast<double>(cycle) / static_cast<double>(set.reportEvery);
-        mine += (mine > 0 ? std::min(1.0, gain) : 1) * (rate - mine);
+        mine.rate += (mine.rate > 0 ? demandGain() : 1) * (rate - mine.rate);
+        mine.at = now;
+    }
+    [[nodiscard]] double demandGain() const {  // a late sum speaks for all the periods that it covers
+        return std::min(1.0, kDemandGain * static_cast<double>(cycle) / static_cast<double>(set.reportEvery));
     }
     // The limit is judged on windows of sums; after a change, sums of tries from before it are left out, lest
     // the same jam be answered over and over.
@@ -706,11 +712,10 @@
     [[nodiscard]] std::vector<double> shares() const {
         const std::size_t n = set.classes.size();
         std::vector<double> load(n, 0), keep(n, 1);
-        double total = 0;
         for (const auto& [key, d] : demands.rates) {
-            load[key.second] += d * static_cast<double>(set.classes[key.second].aim);
+            load[key.second] += d.rate * static_cast<double>(set.classes[key.second].aim);
         }
-        for (const double l : load) total += l;
+        const double total = std::accumulate(load.begin(), load.end(), 0.0);
         const double came = demands.total();
         if (limit <= 0 || came <= 0) return keep;
         double excess = total * std::max(0.0, 1 - limit / came);
@@ -777,8 +782,7 @@
     std::set<ProxyId> joined;  // and not bound yet
     // As many as the channel takes, the busiest first: until then they have their standing tables.
     void bindJoined() {
-        const auto ready = [](const auto& s) { return s.second.ready(); };
-        if (joined.empty() || std::none_of(fleet.begin(), fleet.end(), ready)) return;  // better than nothing
+        if (joined.empty() || readyIn(fleet) == 0) return;  // what they hold is better than nothing
         std::vector<ProxyId> order(joined.begin(), joined.end());
         std::stable_sort(order.begin(), order.end(),
                          [&](ProxyId a, ProxyId b) { return proxies.at(a).rate > proxies.at(b).rate; });
@@ -839,9 +843,9 @@
     }
     void even() {
         columns.loads.clear();
-        for (const auto& [at, rate] : demands.rates) {
+        for (const auto& [at, d] : demands.rates) {
             const Proxy& p = proxies.at(at.first);
-            if (!p.tables.empty()) columns.loads[{p.zone, p.column}] += rate;
+            if (!p.tables.empty()) columns.loads[{p.zone, p.column}] += d.rate;
         }
         for (ZoneId z = 0; z < set.zones; ++z) {
             const std::size_t most = columns.mostStrained(z), least = columns.leastStrained(z);
@@ -875,10 +879,7 @@
     [[nodiscard]] Micros ownerWait() const { return set.oneOwner ? now + set.writeLease + set.settle : now; }
     // The ready server with the fewest slices for its weight; cold ones only where no warm one is ready.
     [[nodiscard]] const ServerId* leastUsed() const {
-        std::map<ServerId, double> used;
-        for (const auto& [id, slice] : slices) {
-            for (const ServerId s : slice.lines) used[s] += 1;
-        }
+        std::map<ServerId, double> used = usesOf(slices);
         const ServerId* best = nullptr;
         const auto cost = [&](ServerId id) {
             const Server& s = fleet.at(id);
@@ -948,6 +949,7 @@
             setLimit();
             spread();
             if (columns.members.size() > 1) even();
+            bury();
             due = true;
             nextTick = now + kTick;
             out.push_back(ArmTimer{kTick, 0});
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -52,6 +52,9 @@
 // simulator gives it to the module as one batch; cut in two, proxies that join together get two tables.
 inline constexpr std::chrono::microseconds kGather{5000};
 
+// Servers that have gone and are remembered all the same, since one may come back under its uid.
+inline constexpr std::size_t kGoneServers = 256;
+
 // What waits for the module's thread while a call is out.
 inline constexpr std::size_t kReportsQueued = 20000;
 inline constexpr std::size_t kEventsQueued = 40000;
--- a/src/routing/planner_thread.cpp
+++ b/src/routing/planner_thread.cpp
@@ -1,5 +1,6 @@
 #include "routing/planner_thread.h"
 
+#include <cstdlib>
 #include <utility>
 
 #include "routing/limits.h"
@@ -25,6 +26,7 @@
       log_(std::move(log)),
       translator_(config, log_),
       module_(make_()),
+      beliefs_(std::getenv("MARLDALE_BELIEFS") != nullptr ? std::make_unique<Beliefs>() : nullptr),
       queue_(limits::kEventsQueued, limits::kReportsQueued, limits::kGather) {
     std::vector<Event> events;
     translator_.events(ListInput{config.known, true}, events);
@@ -62,8 +64,10 @@
 
 void PlannerThread::turn(SteadyTime now, std::vector<Event> events) {
     if (std::exchange(startsOver_, false)) events.insert(events.begin(), translator_.wholeList());
+    const Micros at = clock_.at(now);
+    if (beliefs_) beliefs_->told(at, events);
     try {
-        carryOut(now, module_(clock_.at(now), events));
+        carryOut(now, module_(at, events));
     } catch (const std::exception& e) {
         startOver(e.what());
     }
@@ -80,6 +84,10 @@
 }
 
 void PlannerThread::carryOut(SteadyTime now, const std::vector<Action>& actions) {
+    if (beliefs_) {
+        beliefs_->ordered(actions);
+        if (const auto line = beliefs_->line(clock_.at(now))) log_("beliefs", *line);
+    }
     std::vector<std::string> orders;
     for (const Action& action : actions) {
         if (auto order = translator_.order(action)) {
--- a/src/routing/planner_thread.h
+++ b/src/routing/planner_thread.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "policy.h"
+#include "routing/beliefs.h"
 #include "routing/clock.h"
 #include "routing/event_queue.h"
 #include "routing/translator.h"
@@ -57,7 +58,8 @@
     const Clock clock_;
     Translator translator_;
     Module module_;
-    bool startsOver_ = false;  // the module is new and has to be told the list
+    const std::unique_ptr<Beliefs> beliefs_;  // what the module holds, for the log; only if it is asked for
+    bool startsOver_ = false;                 // the module is new and has to be told the list
     std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
     EventQueue<Input> queue_;
     std::thread thread_;
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -4,11 +4,11 @@
 #include <array>
 #include <charconv>
 
+#include "routing/limits.h"
+
 namespace marldale::routing {
 namespace {
 
-constexpr std::size_t kServersMost = 100000;  // uids remembered; no fleet lists so many in a planner's life
-
 std::optional<std::size_t> indexOf(const std::vector<std::string>& names, const std::string& name) {
     const auto at = std::find(names.begin(), names.end(), name);
     if (at == names.end()) return std::nullopt;
@@ -67,31 +67,42 @@
     // What is gone needs no zone, and what was never listed can't go.
     if (entry.state == ServerState::gone) {
         if (!known) return std::nullopt;
-        servers_[*known].entry.state = ServerState::gone;
-        return servers_[*known].entry;
+        ListEntry out = servers_.at(*known).entry;
+        out.state = ServerState::gone;
+        return out;
     }
     const auto zone = zoneOf(entry.zone);
-    if (!zone || (!known && servers_.size() >= kServersMost)) {
-        log_("list", "server " + entry.uid + " left out: " + (zone ? "too many servers" : "unknown zone"));
+    if (!zone) {
+        log_("list", "server " + entry.uid + " left out: unknown zone");
         return std::nullopt;
     }
     ListEntry out;
-    out.server = known ? *known : static_cast<ServerId>(servers_.size());
+    out.server = known ? *known : nextNumber_++;
     out.kind = static_cast<std::uint8_t>(indexOf(kinds_, entry.kind).value_or(0));
     out.cell = entry.cell;
     out.bootTime = entry.bootUs;
     out.zone = *zone;
     out.weight = entry.weight;
     out.state = entry.state;
-    if (!known) {
-        numbers_.emplace(entry.uid, out.server);
-        servers_.push_back({entry.uid, {}, {}});
-    }
-    servers_[out.server].endpoint = entry.endpoint;
-    servers_[out.server].entry = out;
+    numbers_.emplace(entry.uid, out.server);
+    servers_[out.server] = {entry.uid, entry.endpoint, out};
+    std::erase(gone_, out.server);
     return out;
 }
 
+// Those that have gone are remembered for a while, for a server may come back under its uid; not for good,
+// since a fleet that is replaced all day brings new ones without end.
+void Translator::forgetGone(ServerId server) {
+    servers_.at(server).entry.state = ServerState::gone;
+    if (std::find(gone_.begin(), gone_.end(), server) != gone_.end()) return;
+    gone_.push_back(server);
+    while (gone_.size() > limits::kGoneServers) {
+        numbers_.erase(servers_.at(gone_.front()).uid);
+        servers_.erase(gone_.front());
+        gone_.pop_front();
+    }
+}
+
 void Translator::list(const ListInput& input, std::vector<Event>& out) {
     const protocol::CatalogNews& news = input.news;
     // A list that goes backwards would bring servers back that have gone.
@@ -112,17 +123,20 @@
         named.insert(read->server);
         event.entries.push_back(*read);
     }
-    if (news.whole) {
-        for (Known& server : servers_) {
-            if (!named.count(server.entry.server)) server.entry.state = ServerState::gone;
-        }
+    std::vector<ServerId> gone;
+    for (const auto& [id, server] : servers_) {
+        if (news.whole && !named.count(id)) gone.push_back(id);
+    }
+    for (const ListEntry& entry : event.entries) {
+        if (entry.state == ServerState::gone) gone.push_back(entry.server);
     }
+    for (const ServerId id : gone) forgetGone(id);
     out.emplace_back(std::move(event));
 }
 
 ListNews Translator::wholeList() const {
     ListNews out{rev_, ListNewsKind::cached, {}};
-    for (const Known& server : servers_) out.entries.push_back(server.entry);
+    for (const auto& [id, server] : servers_) out.entries.push_back(server.entry);
     return out;
 }
 
@@ -186,8 +200,8 @@
     const Translator& self;
     using Text = std::optional<std::string>;
     Text operator()(const SetLine& a) const {
-        if (a.server >= self.servers_.size()) return std::nullopt;
-        return "share," + tableName(a.table) + ',' + self.servers_[a.server].uid + ',' + digits(a.weight);
+        if (!self.servers_.count(a.server)) return std::nullopt;
+        return "share," + tableName(a.table) + ',' + self.servers_.at(a.server).uid + ',' + digits(a.weight);
     }
     Text operator()(const DropLines& a) const { return "clear," + tableName(a.table); }
     Text operator()(const Bind& a) const {
@@ -195,8 +209,8 @@
                self.classNames(a.classes);
     }
     Text operator()(const Withdraw& a) const {
-        if (a.server >= self.servers_.size()) return std::nullopt;
-        return (a.out ? "withdraw," : "restore,") + self.servers_[a.server].uid;
+        if (!self.servers_.count(a.server)) return std::nullopt;
+        return (a.out ? "withdraw," : "restore,") + self.servers_.at(a.server).uid;
     }
     Text operator()(const SetLevel& a) const {
         return "admit," + tableName(a.table) + ',' + self.classNames(a.classes) + ',' + digits(a.limit) +
@@ -214,7 +228,7 @@
 
 double Translator::linesAtMost(const std::vector<Action>& actions) const {
     const auto joined = static_cast<double>(joined_.size());
-    const auto table = static_cast<double>(servers_.size() + classes_.size() + 1);
+    const auto table = static_cast<double>(servers_.size() - gone_.size() + classes_.size() + 1);
     double lines = joined * (envelopeLines_ + 1);  // the heads, and the mark
     for (const Action& action : actions) {
         const bool binds = std::holds_alternative<Bind>(action);
@@ -227,8 +241,8 @@
 }
 
 std::string Translator::endpoint(ServerId server) const {
-    if (server >= servers_.size() || servers_[server].entry.state == ServerState::gone) return {};
-    return servers_[server].endpoint;
+    const auto at = servers_.find(server);
+    return at == servers_.end() || at->second.entry.state == ServerState::gone ? "" : at->second.endpoint;
 }
 
 }  // namespace marldale::routing
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -1,6 +1,7 @@
 // Between the names on the sockets and the module's numbers. It belongs to the module's thread.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,8 @@
     // Where a server can be probed; empty if it is not known or gone.
     [[nodiscard]] std::string endpoint(ServerId server) const;
 
+    [[nodiscard]] std::size_t serversKnown() const { return servers_.size(); }
+
     // All servers as last listed, for a module that has to start over.
     [[nodiscard]] ListNews wholeList() const;
 
@@ -61,6 +64,7 @@
     void list(const ListInput& input, std::vector<Event>& out);
     void report(const protocol::Report& report, std::vector<Event>& out);
     void proxyNews(const protocol::News& news, std::vector<Event>& out);
+    void forgetGone(ServerId server);
     std::optional<ListEntry> listEntry(const protocol::CatalogEntry& entry);
     [[nodiscard]] std::optional<ServerId> serverOf(const std::string& uid) const;
     [[nodiscard]] std::optional<ZoneId> zoneOf(const std::string& name) const;
@@ -71,7 +75,9 @@
     std::vector<std::string> zones_, classes_, kinds_, loadFields_;
     std::uint32_t proxies_;
     double envelopeLines_;
-    std::vector<Known> servers_;  // by number
+    std::map<ServerId, Known> servers_;
+    std::deque<ServerId> gone_;  // of these, the one that went first in front
+    ServerId nextNumber_ = 0;    // numbers are never used twice
     std::unordered_map<std::string, ServerId> numbers_;
     std::uint64_t rev_ = 0;
     std::set<ProxyId> joined_;
--- a/src/state.h
+++ b/src/state.h
@@ -48,6 +48,10 @@
     std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
 };
 
+inline std::ptrdiff_t readyIn(const std::map<ServerId, Server>& fleet) {
+    return std::count_if(fleet.begin(), fleet.end(), [](const auto& s) { return s.second.ready(); });
+}
+
 // Classes with the same zones open to them share tables.
 struct Group {
     ClassMask classes = 0;
@@ -164,6 +168,10 @@
     }
 };
 
+inline bool anyHolds(const std::map<TableId, Table>& tables, ServerId id) {
+    return std::any_of(tables.begin(), tables.end(), [&](const auto& t) { return t.second.held(id) != 0; });
+}
+
 // The columns that each zone's servers are dealt into, with what is asked of them and what they can do.
 struct Columns {
     std::vector<std::vector<ServerId>> members;
@@ -173,6 +181,9 @@
         s.column = column;
         members[column].push_back(id);
     }
+    void drop(ServerId id, const Server& s) {
+        if (s.column != kNoColumn) std::erase(members[s.column], id);
+    }
     [[nodiscard]] double strain(ZoneId zone, std::size_t column) const {
         const double power = valueIn(powers, std::pair(zone, column), 0);
         return valueIn(loads, std::pair(zone, column), 0) / std::max(power, 1e-3);
@@ -210,16 +221,28 @@
 
 // Requests a second that come, by proxy and class.
 struct Demands {
-    std::map<std::pair<ProxyId, std::size_t>, double> rates;
+    struct Demand {
+        double rate = 0;
+        Micros at = 0;  // up to when it is told
+    };
+    std::map<std::pair<ProxyId, std::size_t>, Demand> rates;
+    // Nobody reports that nothing came: a span without a word counts as one without a request.
+    void fade(Micros now, Micros every, Micros late, double gain) {
+        for (auto& [key, d] : rates) {
+            if (now - d.at <= every + late) continue;
+            d.rate -= gain * d.rate;
+            d.at += every;
+        }
+    }
     [[nodiscard]] double total() const {
         double sum = 0;
-        for (const auto& [key, rate] : rates) sum += rate;
+        for (const auto& [key, d] : rates) sum += d.rate;
         return sum;
     }
     [[nodiscard]] std::vector<double> of(std::size_t klass) const {
         std::vector<double> out;
-        for (const auto& [key, rate] : rates) {
-            if (key.second == klass) out.push_back(rate);
+        for (const auto& [key, d] : rates) {
+            if (key.second == klass) out.push_back(d.rate);
         }
         return out;
     }
@@ -309,11 +332,25 @@
     Tally seen;
 };
 
+// What a zone's table holds of the other zones' lines.
+struct Spill {
+    double share = 1;
+    double base = 0;  // the best answer time that its servers have shown
+    Micros calmSince = 0;
+};
+
 // ---- Sites with slices ----
 
 struct Slice {
     std::set<ServerId> lines;
     Micros freeAt = 0;
 };
+inline std::map<ServerId, double> usesOf(const std::map<TableId, Slice>& slices) {
+    std::map<ServerId, double> used;
+    for (const auto& [id, slice] : slices) {
+        for (const ServerId s : slice.lines) used[s] += 1;
+    }
+    return used;
+}
 
 }  // namespace marldale
