A fleet too small for columns spreads over all zones' lines, whatever its tables cost

Cause: 75 proxies times 34 lines take 0.5 s of channel, over kDearCost, so the fleet was run as a large one: tables of one zone, others' lines by flows that grow 5% a tick. But ten servers a zone are too few for columns, which is what makes such tables work. At fault: deal() in src/policy.cpp. Ruled out by probes: earlier drawing in of lines (kCoolTime 0.2, 0.0: no change at all, the spread was never in use), the limit (refusals follow the lateness).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,11 +59,10 @@
 constexpr double kDemandGain = 0.2;  // how fast the picture of demand follows
 constexpr double kCutLeast = 0.5, kCutMost = 0.9, kRaiseLeast = 1.1, kRaiseMost = 1.5;
 constexpr Micros kWindowExtra = 500 * kMs;
-constexpr double kCycleGain = 0.05, kIntakeFull = 0.8;  // of the intake: from here on sums come late
-constexpr double kLeastSpanS = 0.1;                     // guards a rate against a span of nothing
-constexpr double kProvenFade = 0.98;                    // a window
-constexpr double kLiftAt = 1.2;                         // of what comes: a limit above it is lifted
-constexpr double kLimitFloor = 0.8;                     // of the proven rate: no limit goes below this
+constexpr double kCycleGain = 0.05, kIntakeFull = 0.8;   // of the intake: from here on sums come late
+constexpr double kLeastSpanS = 0.1, kProvenFade = 0.98;  // least span of a rate; fade a window
+constexpr double kLiftAt = 1.2;                          // of what comes: a limit above it is lifted
+constexpr double kLimitFloor = 0.8;                      // of the proven rate: no limit goes below this
 constexpr double kBurstS = 0.5;       // of its rate a proxy lets in at once (seen by trying rates)
 constexpr double kClassLeast = 0.02;  // and this much in any case
 constexpr double kClassFloor = 0.25;  // a class keeps this share while another can still give
@@ -235,7 +234,7 @@
                                      static_cast<double>(set.proxies) / std::max(1U, set.planners));
         return mine * static_cast<double>(groups.size()) * (lines + set.envelopeLines) / set.pushRate;
     }
-    bool dear = false;  // decided with the columns: a fleet that grows does not change its ways under load
+    bool dear = false;  // decided with the columns, of which there are several: it does not change under load
     void release(ProxyId id, TableId table) {
         const auto at = tables.find(table);
         if (at == tables.end()) return;
@@ -827,7 +826,8 @@
     void deal() {
         if (columns.members.empty() && !fleet.empty()) {
             columns.members.resize(columnsWanted());
-            dear = tableCost(tableLines(fleet.size() / columns.members.size())) > kDearCost;
+            dear = columns.members.size() > 1 &&
+                   tableCost(tableLines(fleet.size() / columns.members.size())) > kDearCost;
         }
         columns.powers.clear();
         for (auto& [id, s] : fleet) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -393,6 +393,33 @@
     }
 }
 
+// Found on worse days in service: 75 proxies made lines dear, and ten servers of a zone were left to
+// themselves with another twenty at hand.
+TEST(Zones, AFleetTooSmallForColumnsSpreadsWhateverItsTablesCost) {
+    Settings settings = calmSettings();
+    settings.proxies = 400;  // their tables take over half a second of the channel
+    Rig rig(settings);
+    std::vector<ListEntry> servers;
+    for (ServerId id = 0; id < 20; ++id) servers.push_back(server(id, static_cast<ZoneId>(id % 2)));
+    rig.list(servers);
+    rig.join(0, 0);
+    for (ServerId id = 0; id < 20; ++id) EXPECT_GT(rig.weight(0, id), 0) << id;
+}
+
+// A fleet that is replaced all day under new ids: what has gone is forgotten, and may come back all the same.
+TEST(Withdrawals, AServerThatHasGoneAndComesBackIsLetBack) {
+    Rig rig = settledRig();
+    ListEntry gone = server(2, 0, ServerState::gone);
+    rig.list({gone}, ListNewsKind::delta);
+    rig.run(5 * kSecond);
+    EXPECT_TRUE(rig.withdrawn.at(2));
+    EXPECT_EQ(rig.weight(0, 2), 0);
+    rig.list({server(2, 0)}, ListNewsKind::delta);
+    rig.run(5 * kSecond);
+    EXPECT_FALSE(rig.withdrawn.at(2));
+    EXPECT_GT(rig.weight(0, 2), 0);
+}
+
 TEST(Levels, ProvenOverloadShedsTheLeastWorthFirst) {
     Rig rig = settledRig(sheddingSettings(Admission::share));
     EXPECT_GE(rig.levels[rig.tableOf(0)][1].limit, 1);
