--- a/example/toy.cpp
+++ b/example/toy.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 using marldale::protocol::LineReader;
-using marldale::transport::Address;
 using marldale::transport::Connection;
 using marldale::transport::Ended;
 using marldale::transport::Listener;
@@ -28,7 +27,8 @@
 
 constexpr std::size_t kLineMost = 1U << 20U;
 
-// Listens and hands on lines.
+// Listens on a port and on the one after it, so that a planner can be sent from one address to another, and
+// hands on lines.
 class Lines {
 public:
     struct Client {
@@ -38,8 +38,12 @@
         void say(const std::string& text) const { connection->write(text); }
     };
 
-    Lines(Loop& loop, const Address& at, std::function<void(Client&, std::string_view)> line)
-        : loop_(loop), line_(std::move(line)), listener_(loop, at, [this](int fd) { accept(fd); }) {}
+    Lines(Loop& loop, std::uint16_t port, std::function<void(Client&, std::string_view)> line)
+        : loop_(loop),
+          line_(std::move(line)),
+          first_(loop, {"127.0.0.1", port}, [this](int fd) { accept(fd); }),
+          second_(loop, {"127.0.0.1", static_cast<std::uint16_t>(port + 1)}, [this](int fd) { accept(fd); }) {
+    }
 
     void tellWatchers(const std::string& text) {
         for (Client& client : clients_) {
@@ -67,13 +71,13 @@
     Loop& loop_;
     std::function<void(Client&, std::string_view)> line_;
     std::list<Client> clients_;
-    Listener listener_;
+    Listener first_, second_;
 };
 
 class Discovery {
 public:
     explicit Discovery(Loop& loop)
-        : lines_(loop, {"127.0.0.1", 8500}, [this](Lines::Client& c, std::string_view l) { request(c, l); }),
+        : lines_(loop, 8500, [this](Lines::Client& c, std::string_view l) { request(c, l); }),
           alive_(loop, [this] { quiet(); }) {
         quiet();
     }
@@ -132,7 +136,7 @@
 class Relay {
 public:
     explicit Relay(Loop& loop)
-        : lines_(loop, {"127.0.0.1", 6400}, [this](Lines::Client& c, std::string_view l) { line(c, l); }),
+        : lines_(loop, 6400, [this](Lines::Client& c, std::string_view l) { line(c, l); }),
           alive_(loop, [this] { quiet(); }) {
         quiet();
     }
@@ -237,7 +241,8 @@
         Relay relay(loop);
         const Console console(loop, discovery, relay);
         std::puts(
-            "discovery on 127.0.0.1:8500, relay on 127.0.0.1:6400; servers s-1 and s-3 in zone a, s-2 in b");
+            "discovery on 127.0.0.1:8500 and 8501, relay on 6400 and 6401; servers s-1 and s-3 in zone a, "
+            "s-2 in b");
         std::fflush(stdout);
         loop.run();
     } catch (const std::exception& e) {
--- a/src/protocol/reports.cpp
+++ b/src/protocol/reports.cpp
@@ -8,8 +8,8 @@
 namespace marldale::protocol {
 namespace {
 
-constexpr double kCountMost = std::numeric_limits<std::uint32_t>::max();
-constexpr double kSpanMostMs = 3.6e6;  // an hour; no sum covers more
+constexpr std::uint32_t kCountMost = 10000000;  // of one sum; no planner's proxies have so many in its span
+constexpr double kSpanMostMs = 60000;           // no sum covers more, and no try lasts so long
 constexpr std::size_t kLoadValuesMost = 16;
 constexpr double kLoadMost = 1e12;
 
@@ -25,9 +25,12 @@
 }
 
 std::optional<std::uint32_t> countIn(const Json& object, const char* key) {
-    const auto value = numberIn(object, key, kCountMost);
-    if (!value) return std::nullopt;
-    return static_cast<std::uint32_t>(*value);
+    return wholeIn<std::uint32_t>(object, key, kCountMost);
+}
+// What a sum covers: a span of nothing would make a rate without end of it.
+std::optional<std::int64_t> spanIn(const Json& object) {
+    const auto over = millisIn(object, "over", kSpanMostMs);
+    return over && *over > 0 ? over : std::nullopt;
 }
 
 std::optional<Report> outcomes(const Json& object) {
@@ -35,8 +38,8 @@
     const auto server = textIn(object, "target");
     const auto tries = countIn(object, "count");
     const auto failed = countIn(object, "fail");
-    const auto over = millisIn(object, "over", kSpanMostMs);
-    if (!zone || !server || !tries || !failed || !over) return std::nullopt;
+    const auto over = spanIn(object);
+    if (!zone || !server || !tries || !failed || !over || *failed > *tries) return std::nullopt;
     // Where all tries failed there is no mean.
     const auto mean = millisIn(object, "mean", kSpanMostMs);
     if (!mean && *failed < *tries) return std::nullopt;
@@ -48,7 +51,7 @@
     const auto klass = textIn(object, "lane");
     const auto came = countIn(object, "count");
     const auto failed = countIn(object, "fail");
-    const auto over = millisIn(object, "over", kSpanMostMs);
+    const auto over = spanIn(object);
     if (!proxy || !klass || !came || !failed || !over) return std::nullopt;
     return Demand{*proxy, *klass, *came, *failed, *over};
 }
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -52,6 +52,10 @@
 // simulator gives it to the module as one batch; cut in two, proxies that join together get two tables.
 inline constexpr std::chrono::microseconds kGather{5000};
 
+// A try ends when its client gives up, at the latest; the rest is for clocks and for answers that come after
+// that.
+inline constexpr std::int64_t kGiveUpsOfATry = 4;
+
 // Servers that have gone and are remembered all the same, since one may come back under its uid.
 inline constexpr std::size_t kGoneServers = 256;
 
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -34,7 +34,11 @@
       kinds_(config.kinds),
       loadFields_(config.settings.loadFields),
       proxies_(config.settings.proxies),
-      envelopeLines_(config.settings.envelopeLines) {}
+      envelopeLines_(config.settings.envelopeLines) {
+    for (const ClassSettings& k : config.settings.classes) {
+        longestTry_ = std::max(longestTry_, limits::kGiveUpsOfATry * std::max(k.aim, k.giveUp));
+    }
+}
 
 void Translator::events(const Input& input, std::vector<Event>& out) {
     struct Visitor {
@@ -158,6 +162,7 @@
             return log_("report",
                         "outcomes left out: unknown " + (server ? "zone " + o->zone : "server " + o->server));
         }
+        if (o->meanUs > longestTry_) return log_("report", "outcomes left out: no try lasts so long");
         ServerSums sums{*server, *zone, o->tries, o->failed, o->overUs, o->meanUs, loadReport(o->load)};
         out.emplace_back(std::move(sums));
     } else if (const auto* d = std::get_if<protocol::Demand>(&report)) {
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -75,6 +75,7 @@
     std::vector<std::string> zones_, classes_, kinds_, loadFields_;
     std::uint32_t proxies_;
     double envelopeLines_;
+    Micros longestTry_ = 0;  // a mean above it is spoilt
     std::map<ServerId, Known> servers_;
     std::deque<ServerId> gone_;  // of these, the one that went first in front
     ServerId nextNumber_ = 0;    // numbers are never used twice
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -186,7 +186,13 @@
 
 TEST(Reports, BadOnesAreNone) {
     for (const char* text :
-         {"", "not json", "[]", "7", "{}", R"({"type":7})", R"({"type":"agent"})",
+         {"",
+          "not json",
+          "[]",
+          "7",
+          "{}",
+          R"({"type":7})",
+          R"({"type":"agent"})",
           R"({"type":"agent","site":1})",
           R"({"type":"demand","id":70000,"lane":"x","count":1,"fail":0,"over":1})",
           R"({"type":"demand","id":-1,"lane":"x","count":1,"fail":0,"over":1})",
@@ -194,6 +200,14 @@
           R"({"type":"demand","id":1,"lane":"x","count":-4,"fail":0,"over":1})",
           R"({"type":"demand","id":1,"lane":"x","count":1e20,"fail":0,"over":1})",
           R"({"type":"demand","id":1,"lane":"x","count":1,"fail":0})",
+          R"({"type":"demand","id":1,"lane":"x","count":1.5,"fail":0,"over":1})",
+          R"({"type":"demand","id":1,"lane":"x","count":true,"fail":0,"over":1})",
+          R"({"type":"demand","id":1,"lane":["x"],"count":1,"fail":0,"over":1})",
+          R"({"type":"demand","id":1,"lane":"x","count":1,"fail":0,"over":0})",
+          R"({"type":"outcomes","site":"a","target":"s","count":1,"fail":2,"mean":1,"over":1})",
+          R"({"type":"outcomes","site":"a","target":7,"count":1,"fail":0,"mean":1,"over":1})",
+          R"({"type":"outcomes","site":"a","target":"s","count":1,"fail":0,"mean":"1","over":1})",
+          R"({"type":"outcomes","site":"a","target":"s","count":1,"fail":0,"mean":61000,"over":1})",
           R"({"type":"outcomes","site":"a","target":"s","count":1,"fail":0,"mean":-1,"over":1})",
           R"({"type":"outcomes","site":"a","target":"s","count":1,"fail":0,"mean":1,"over":1e30})"}) {
         EXPECT_FALSE(parseReport(text)) << text;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "routing/backoff.h"
+#include "routing/beliefs.h"
 #include "routing/clock.h"
 #include "routing/event_queue.h"
 #include "routing/pending_call.h"
@@ -145,6 +146,34 @@
     EXPECT_EQ(only<ProxyDemand>(protocol::Report{protocol::Demand{8, "write it", 1, 0, 1}}).klass, 1);
 }
 
+// A spoilt mean that is a number all the same would pass for a jam of the whole fleet.
+TEST_F(TranslatorTest, MeanThatNoTryCanHaveIsLeftOut) {
+    know({"s1"});
+    EXPECT_TRUE(events(protocol::Report{protocol::Outcomes{"b", "s1", 1, 0, 50000000, 1000000, {}}}).empty());
+    EXPECT_EQ(only<ServerSums>(protocol::Report{protocol::Outcomes{"b", "s1", 1, 0, 2000000, 1, {}}}).tries,
+              1U);
+}
+
+// The list brings new servers under new ids all day long.
+TEST_F(TranslatorTest, ServersThatHaveGoneAreForgottenInTheEndAndNumbersAreNeverUsedTwice) {
+    std::uint64_t rev = 1;
+    ServerId last = 0;
+    for (int generation = 0; generation < 2000; ++generation) {
+        const std::string uid = "s" + std::to_string(generation),
+                          before = "s" + std::to_string(generation - 1);
+        const auto news = only<ListNews>(list(++rev, generation % 50 == 0, {server(uid)}));
+        EXPECT_GE(news.entries[0].server, last);
+        last = news.entries[0].server;
+        if (generation > 0) (void)events(list(++rev, false, {server(before, ServerState::gone)}));
+        EXPECT_LE(translator.serversKnown(), limits::kGoneServers + 2);
+    }
+    EXPECT_EQ(last, 1999U);
+    EXPECT_EQ(translator.endpoint(last), "127.0.0.9:5000");
+    EXPECT_FALSE(translator.order(SetLine{1, 0, 1}).has_value()) << "forgotten";
+    // One that has gone only lately comes back under its number.
+    EXPECT_EQ(only<ListNews>(list(++rev, false, {server("s1990")})).entries[0].server, 1990U);
+}
+
 TEST_F(TranslatorTest, NewsOfProxies) {
     const auto joined = only<ProxyJoined>(hello(3, true));
     EXPECT_EQ(joined.proxy, 3);
@@ -282,6 +311,27 @@
               3 * 5 + 2 * 3 + 5);
 }
 
+// ---- Beliefs ----
+
+TEST(WhatIsBelieved, FollowsReportsAndOrdersAndForgetsWhatIsOld) {
+    Beliefs beliefs;
+    constexpr Micros kS = 1000000;
+    beliefs.told(kS, {ServerSums{1, 0, 20, 2, kS, 250000, {}}, ServerSums{2, 0, 10, 0, kS, 100000, {}},
+                      ProxyDemand{1, 0, 30, 0, kS}});
+    beliefs.ordered({SetLine{1, 1, 1.0F}, SetLine{1, 2, 0.0F}, SetLevel{1, 0.5F, 1, 0}, Withdraw{3, true}});
+    const auto line = beliefs.line(2 * kS);
+    ASSERT_TRUE(line);
+    EXPECT_NE(line->find("30.0/s come, 30.0/s tried, 2.0/s failed, 6.0 in flight, oldest report 1.0 s"),
+              std::string::npos)
+        << *line;
+    EXPECT_NE(line->find("1 withdrawn, 1 tables, 1 servers left out, levels 1:0.5"), std::string::npos)
+        << *line;
+    EXPECT_FALSE(beliefs.line(2 * kS + 1)) << "once a second";
+    const auto later = beliefs.line(20 * kS);
+    ASSERT_TRUE(later);
+    EXPECT_NE(later->find("0.0/s come, 0.0/s tried"), std::string::npos) << *later;
+}
+
 // ---- Small parts ----
 
 TEST(Backoffs, DoubleToABoundWithJitterAndBeginAnewAfterSuccess) {
