--- a/tests/churn_test.cpp
+++ b/tests/churn_test.cpp
@@ -14,10 +14,15 @@
 std::atomic<long long> live{0};  // bytes
 }
 
-void* operator new(std::size_t size) {
+// The plain and the nothrow form, which sorting uses; a sanitizer's own would not match the delete below.
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
     void* const p = std::malloc(size);
+    if (p != nullptr) live += static_cast<long long>(malloc_usable_size(p));
+    return p;
+}
+void* operator new(std::size_t size) {
+    void* const p = operator new(size, std::nothrow);
     if (p == nullptr) throw std::bad_alloc();
-    live += static_cast<long long>(malloc_usable_size(p));
     return p;
 }
 void operator delete(void* p) noexcept {
@@ -25,6 +30,7 @@
     std::free(p);
 }
 void operator delete(void* p, std::size_t) noexcept { operator delete(p); }
+void operator delete(void* p, const std::nothrow_t&) noexcept { operator delete(p); }
 
 namespace marldale {
 namespace {
