A whole list no longer looks up servers that it has itself pushed out of memory

Found by reading the change: Translator::list collected servers that had gone long ago together with those that go now; once the latter had pushed the former out of the 256 that are remembered, at() threw on the module's thread and would have ended the program. Only servers that had not gone before are collected now, which also makes the search through the remembered ones needless: a server's state says it. The new test throws without this.

--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -98,7 +98,6 @@
 // since a fleet that is replaced all day brings new ones without end.
 void Translator::forgetGone(ServerId server) {
     servers_.at(server).entry.state = ServerState::gone;
-    if (std::find(gone_.begin(), gone_.end(), server) != gone_.end()) return;
     gone_.push_back(server);
     while (gone_.size() > limits::kGoneServers) {
         numbers_.erase(servers_.at(gone_.front()).uid);
@@ -120,19 +119,19 @@
     rev_ = news.rev;
     ListNews event{news.rev, ListNewsKind::delta, {}};
     if (news.whole) event.kind = input.cached ? ListNewsKind::cached : ListNewsKind::full;
-    std::set<ServerId> named;
+    std::set<ServerId> named, gone;  // gone: those that had not before, so that none is pushed out meanwhile
+    const auto goes = [&](ServerId id) {
+        if (servers_.at(id).entry.state != ServerState::gone) gone.insert(id);
+    };
     for (const protocol::CatalogEntry& entry : news.entries) {
         const auto read = listEntry(entry);
         if (!read) continue;
         named.insert(read->server);
         event.entries.push_back(*read);
+        if (read->state == ServerState::gone) goes(read->server);
     }
-    std::vector<ServerId> gone;
     for (const auto& [id, server] : servers_) {
-        if (news.whole && !named.count(id)) gone.push_back(id);
-    }
-    for (const ListEntry& entry : event.entries) {
-        if (entry.state == ServerState::gone) gone.push_back(entry.server);
+        if (news.whole && !named.count(id)) goes(id);
     }
     for (const ServerId id : gone) forgetGone(id);
     out.emplace_back(std::move(event));
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -174,6 +174,22 @@
     EXPECT_EQ(only<ListNews>(list(++rev, false, {server("s1990")})).entries[0].server, 1990U);
 }
 
+// Found by reading: servers that had gone long ago were looked up after those that go now had pushed them
+// out.
+TEST_F(TranslatorTest, WholeListWithoutServersThatWentLongAgoAndOthersThatGoNow) {
+    const std::size_t all = limits::kGoneServers + 10;
+    std::vector<protocol::CatalogEntry> first, oldGone;
+    for (std::size_t i = 0; i < all; ++i) first.push_back(server("s" + std::to_string(i)));
+    for (std::size_t i = 10; i < all; ++i) {
+        oldGone.push_back(server("s" + std::to_string(i), ServerState::gone));
+    }
+    (void)events(list(1, true, first));
+    (void)events(list(2, false, oldGone));  // as many as are remembered, with the higher numbers
+    EXPECT_NO_THROW((void)events(list(3, true, {server("new")})));
+    EXPECT_EQ(translator.serversKnown(), limits::kGoneServers + 1);
+    EXPECT_EQ(translator.endpoint(static_cast<ServerId>(all)), "127.0.0.9:5000");
+}
+
 TEST_F(TranslatorTest, NewsOfProxies) {
     const auto joined = only<ProxyJoined>(hello(3, true));
     EXPECT_EQ(joined.proxy, 3);
