Read once more: a wrapper less, one place that starts watches, derived names in the trace

NewsWatch::dial only passed on to its link; the loop that starts the news watches stood twice; the trace of beliefs counted with names like members; the tests' dribbling stranger and the relay's two proxies stand where they are used. The header of policy.cpp is whole again. Behaviour unchanged.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,8 +1,7 @@
 // marldale's decisions. The interface (settings, events, actions) is policy.h; no wire is known here.
 //
-// Parts, in this order, each owning its state: 1 fleet view   2 table store and push   3 pacer   4
-// withdrawals
-//   5 slow start   6 health   7 levels and retries   8 joins and restart; last, sites with slices.
+// Parts, in this order, each owning its state: 1 fleet view, 2 table store and push, 3 pacer,
+// 4 withdrawals, 5 slow start, 6 health, 7 levels and retries, 8 joins and restart; last, sites with slices.
 #include "policy.h"
 
 #include <algorithm>
--- a/src/routing/beliefs.cpp
+++ b/src/routing/beliefs.cpp
@@ -72,13 +72,14 @@
     std::string out = text("%.1f/s come, %.1f/s tried, %.1f/s failed, %.1f in flight, oldest report %.1f s",
                            came, tries, failed, inFlight, age);
     out += text(", %zu proxies and classes, %zu withdrawn", came_.size(), withdrawn_.size());
-    std::set<ServerId> out_, all;
+    std::set<ServerId> without, with;
     for (const auto& [table, lines] : lines_) {
-        for (const auto& [server, weight] : lines) (weight > 0 ? all : out_).insert(server);
+        for (const auto& [server, weight] : lines) (weight > 0 ? with : without).insert(server);
     }
-    std::size_t without = 0;
-    for (const ServerId id : out_) without += all.count(id) == 0 && withdrawn_.count(id) == 0;
-    out += text(", %zu tables, %zu servers left out, levels", lines_.size(), without);
+    const auto leftOut = std::count_if(without.begin(), without.end(), [&](ServerId id) {
+        return with.count(id) == 0 && withdrawn_.count(id) == 0;
+    });
+    out += text(", %zu tables, %td servers left out, levels", lines_.size(), leftOut);
     std::map<std::uint16_t, float> lowest;
     for (const auto& [key, level] : levels_) {
         const auto at = lowest.try_emplace(key.second, level.limit).first;
--- a/src/routing/news_watch.cpp
+++ b/src/routing/news_watch.cpp
@@ -9,10 +9,10 @@
     : handlers_(std::move(handlers)),
       log_(std::move(log)),
       backoff_(seed),
-      again_(loop, [this] { dial(); }),
+      again_(loop, [this] { link_.dial(); }),
       silence_(loop, [this] { lost("silent"); }),
       link_(loop, std::move(relay), limits::kNewsLineMost, limits::kReplyBuffer, linkHandlers()) {
-    dial();
+    link_.dial();
 }
 
 LineLink::Handlers NewsWatch::linkHandlers() {
@@ -27,8 +27,6 @@
     return out;
 }
 
-void NewsWatch::dial() { link_.dial(); }
-
 void NewsWatch::lost(const std::string& why) {
     if (backoff_.failures() == 0) log_("news", "no news of proxies: " + why);
     silence_.cancel();
--- a/src/routing/news_watch.h
+++ b/src/routing/news_watch.h
@@ -31,7 +31,6 @@
     enum class Phase { dialling, asked, standing, live, stopped };
 
     [[nodiscard]] LineLink::Handlers linkHandlers();
-    void dial();
     void lost(const std::string& why);
     bool onLine(std::string_view line);
 
--- a/src/routing/proxy_news.cpp
+++ b/src/routing/proxy_news.cpp
@@ -9,11 +9,15 @@
     : loop_(loop), seed_(seed), post_(std::move(post)), log_(std::move(log)), startOver_(loop, [this] {
           for (Source& source : sources_) source.watch->startOver("no room for news");
       }) {
-    for (std::size_t i = 0; i < limits::kNewsWatches; ++i) add(relay);
+    watch(relay);
 }
 
 ProxyNews::~ProxyNews() = default;
 
+void ProxyNews::watch(const transport::Address& relay) {
+    for (std::size_t i = 0; i < limits::kNewsWatches; ++i) add(relay);
+}
+
 void ProxyNews::add(const transport::Address& relay) {
     Source& source = sources_.emplace_back();
     NewsWatch::Handlers handlers;
@@ -26,7 +30,7 @@
 
 void ProxyNews::moveTo(const transport::Address& relay) {
     for (Source& source : sources_) source.retiring = true;
-    for (std::size_t i = 0; i < limits::kNewsWatches; ++i) add(relay);
+    watch(relay);
     retire();
 }
 
--- a/src/routing/proxy_news.h
+++ b/src/routing/proxy_news.h
@@ -53,6 +53,7 @@
         bool joined = false;
     };
 
+    void watch(const transport::Address& relay);
     void add(const transport::Address& relay);
     void onBegins(Source& source);
     void onStands(Source& source);
--- a/tests/sockets_test.cpp
+++ b/tests/sockets_test.cpp
@@ -228,6 +228,8 @@
 
 // ---- News, merged out of several watches ----
 
+const char* const kTwo = "* hello 1 a 5 0\r\n* hello 2 a 5 0\r\n";
+
 class MergeTest : public testing::Test {
 protected:
     // A relay's end of the watches: what it says, it says on those that have asked.
@@ -264,7 +266,7 @@
         });
     }
     void startTwo() {
-        start([](Scripted::Client& c) { standing(c, "* hello 1 a 5 0\r\n* hello 2 a 5 0\r\n"); });
+        start([](Scripted::Client& c) { standing(c, kTwo); });
         ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 2 && relay->got(1) == "WATCH\r\n"; }));
         ASSERT_TRUE(settled({&relay->client(0), &relay->client(1), &relay->client(0)}));
         ASSERT_EQ(heard, "h1 h2 ");
@@ -277,8 +279,6 @@
     int room = 1000, acks = 0, mark = 100;
 };
 
-const char* const kTwo = "* hello 1 a 5 0\r\n* hello 2 a 5 0\r\n";
-
 TEST_F(MergeTest, WhatTwoWatchesTellIsToldOnce) {
     startTwo();
     for (std::size_t n : {0, 1}) relay->client(n).say("* bye 1\r\n* hello 1 a 5 1\r\n* ack 1 9 3\r\n");
@@ -558,8 +558,6 @@
     }
 
     transport::Loop loop;
-    int i_ = 0;
-    transport::Timer* dribble_ = nullptr;
     std::vector<std::uint32_t> counts;
     Intake intake{loop,
                   {"127.0.0.1", 0},
@@ -669,13 +667,14 @@
     std::vector<std::unique_ptr<Dialler>> strangers;
     for (int i = 0; i < 4; ++i) strangers.push_back(dial());
     strangers[1]->connection->write(agent().substr(0, 10));
-    transport::Timer dribble(loop, [&] {
-        strangers[2]->connection->write(std::string(1, i_++ == 0 ? '\x40' : '\0'));
+    int round = 0;
+    std::unique_ptr<transport::Timer> dribble;
+    dribble = std::make_unique<transport::Timer>(loop, [&] {
+        strangers[2]->connection->write(std::string(1, round++ == 0 ? '\x40' : '\0'));
         strangers[3]->connection->write(probe());
-        dribble_->after(Millis{300});
+        dribble->after(Millis{300});
     });
-    dribble_ = &dribble;
-    dribble.after(Millis{0});
+    dribble->after(Millis{0});
     ASSERT_TRUE(runUntil(loop, [&] {
         return std::all_of(strangers.begin(), strangers.end(), [](const auto& s) { return s->ended; });
     }));
