The decisions become a package, src/policy: types at the bottom, module, state; tests by package

Need: later subsystems (gRPC, membership) know the module's types and nothing else of it. Until now the interface's types and the module's class shared a header that state.h included, one floor out of order.

Change: src/policy/types.h (settings, events, actions: values only), policy.h (the Planner), policy.cpp (all decisions, moved unchanged), state.h.

--- a/src/drill/host.h
+++ b/src/drill/host.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <ostream>
 
+#include "policy/policy.h"
 #include "wire/codec.h"
 
 namespace marldale::drill {
--- a/src/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,8 +1,8 @@
-// marldale's decisions. The interface (settings, events, actions) is policy.h; no wire is known here.
+// marldale's decisions. The interface (settings, events, actions) is types.h; no wire is known here.
 //
 // Parts, in this order, each owning its state: 1 fleet view, 2 table store and push, 3 pacer,
 // 4 withdrawals, 5 slow start, 6 health, 7 levels and retries, 8 joins and restart; last, sites with slices.
-#include "policy.h"
+#include "policy/policy.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,7 +10,7 @@
 #include <set>
 #include <tuple>
 
-#include "state.h"
+#include "policy/state.h"
 
 namespace marldale {
 namespace {
--- a/src/state.h
+++ b/src/policy/state.h
@@ -13,7 +13,7 @@
 #include <tuple>
 #include <vector>
 
-#include "policy.h"
+#include "policy/types.h"
 
 namespace marldale {
 
--- a/src/policy.h
+++ b/src/policy/types.h
@@ -1,13 +1,11 @@
-// The interface of marldale's decision module: settings in, events in, actions out.
+// The decision module's interface: settings in, events in, actions out. Nothing here decides anything.
 //
-// It knows no wire. A front (today the drill adapter, later a daemon) translates its protocol into
+// It knows no wire. A front (the drill adapter, the planner on sockets) translates its protocol into
 // these types, hands each instance the events of one moment as a turn, and carries out the actions
 // that come back, in their order.
 #pragma once
 
 #include <cstdint>
-#include <memory>
-#include <stdexcept>
 #include <string>
 #include <variant>
 #include <vector>
@@ -208,22 +206,4 @@
 using Action = std::variant<SetLine, DropLines, Bind, Withdraw, SetLevel, Mark, ArmTimer, Probe, Subscribe,
                             FetchList, Log>;
 
-// One planner instance. It reads time only from `turn` and randomness only from Settings::seed.
-class Planner {
-public:
-    explicit Planner(Settings settings);
-    ~Planner();
-    Planner(Planner&&) noexcept;
-    Planner& operator=(Planner&&) noexcept;
-    Planner(const Planner&) = delete;
-    Planner& operator=(const Planner&) = delete;
-
-    // All events of one moment, in order; the actions take effect at that moment, in order.
-    [[nodiscard]] std::vector<Action> turn(Micros now, const std::vector<Event>& events);
-
-private:
-    struct State;
-    std::unique_ptr<State> state_;
-};
-
 }  // namespace marldale
--- a/src/protocol/catalog.h
+++ b/src/protocol/catalog.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "policy.h"
+#include "policy/types.h"
 #include "protocol/json.h"
 
 namespace marldale::protocol {
--- a/src/protocol/config.h
+++ b/src/protocol/config.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "policy.h"
+#include "policy/types.h"
 #include "protocol/catalog.h"
 
 namespace marldale::protocol {
--- a/src/routing/beliefs.h
+++ b/src/routing/beliefs.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "policy.h"
+#include "policy/types.h"
 
 namespace marldale::routing {
 
--- a/src/routing/clock.h
+++ b/src/routing/clock.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-#include "policy.h"
+#include "policy/types.h"
 
 namespace marldale::routing {
 
--- a/src/routing/planner_thread.h
+++ b/src/routing/planner_thread.h
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "policy.h"
+#include "policy/policy.h"
 #include "routing/beliefs.h"
 #include "routing/clock.h"
 #include "routing/event_queue.h"
--- a/src/routing/resend_guard.h
+++ b/src/routing/resend_guard.h
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <deque>
 
-#include "policy.h"
+#include "policy/types.h"
 #include "routing/clock.h"
 #include "routing/limits.h"
 
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-#include "policy.h"
+#include "policy/types.h"
 #include "protocol/catalog.h"
 #include "protocol/config.h"
 #include "protocol/relay.h"
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -3,11 +3,12 @@
 
 #include <array>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "policy.h"
+#include "policy/types.h"
 
 namespace marldale::wire {
 
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -1,9 +1,10 @@
 // Reads the path=value settings of a `create` event into Settings.
 #pragma once
 
+#include <stdexcept>
 #include <string_view>
 
-#include "policy.h"
+#include "policy/types.h"
 
 namespace marldale::wire {
 
--- a/tests/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -1,5 +1,5 @@
 // The decision module by itself, part by part.
-#include "fleet.h"
+#include "support/fleet.h"
 
 namespace marldale::test {
 namespace {
--- a/tests/scale_test.cpp
+++ b/tests/policy/scale_test.cpp
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <limits>
 
-#include "fleet.h"
+#include "support/fleet.h"
 
 namespace marldale::test {
 namespace {
--- a/tests/program_test.cpp
+++ b/tests/program/program_test.cpp
@@ -16,7 +16,7 @@
 #include "program/log.h"
 #include "protocol/frames.h"
 #include "protocol/reports.h"
-#include "sockets.h"
+#include "support/sockets.h"
 
 namespace marldale {
 namespace {
--- a/tests/garbage_test.cpp
+++ b/tests/protocol/garbage_test.cpp
@@ -11,7 +11,7 @@
 #include "protocol/lines.h"
 #include "protocol/relay.h"
 #include "protocol/reports.h"
-#include "sockets.h"
+#include "support/sockets.h"
 
 namespace marldale::protocol {
 namespace {
--- a/tests/churn_test.cpp
+++ b/tests/routing/churn_test.cpp
@@ -7,8 +7,9 @@
 #include <cstdlib>
 #include <new>
 
+#include "policy/policy.h"
 #include "routing/proxy_news.h"
-#include "sockets.h"
+#include "support/sockets.h"
 
 namespace {
 std::atomic<long long> live{0};  // bytes
--- a/tests/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -15,7 +15,7 @@
 #include "routing/prober.h"
 #include "routing/resend_guard.h"
 #include "routing/translator.h"
-#include "sockets.h"
+#include "support/sockets.h"
 
 namespace marldale::routing {
 namespace {
--- a/tests/sockets_test.cpp
+++ b/tests/routing/sockets_test.cpp
@@ -11,7 +11,7 @@
 #include "routing/prober.h"
 #include "routing/proxy_news.h"
 #include "routing/relay_calls.h"
-#include "sockets.h"
+#include "support/sockets.h"
 
 namespace marldale::routing {
 namespace {
--- a/tests/fleet.h
+++ b/tests/support/fleet.h
@@ -7,7 +7,8 @@
 #include <optional>
 #include <set>
 
-#include "state.h"
+#include "policy/policy.h"
+#include "policy/state.h"
 
 namespace marldale::test {
 
