Sub-commands, settings of our own in INI, and the log on spdlog with JSON lines

Need: what gRPC and later subsystems switch on needs a place outside the platform's configuration, with every key checked, and the operators want one command that tells all that is wrong in every file at once.

Change: src/settings (inih; entries with lines, keys with type, unit, range, default, nearest known name), marldale serve/check/version (CLI11; without words its parser is not run), a log on spdlog behind the same rate-limited function, text as before or JSON with stable keys. parseConfig can gather all problems instead of ending at the first.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,17 @@
 # Shortcuts; CMake does the work.
-.PHONY: build test sanitize tsan lint format run clean
+.PHONY: packages build test sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
+# Installs what is missing, of Debian's packages.
+packages:
+	tools/packages all
+
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release -DMARLDALE_EXAMPLE=ON
 	$(BUILD) build -j4
 
-test:
+test: packages
 	cmake -B build/tests -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON
 	$(BUILD) build/tests -j4
 	ctest --test-dir build/tests --output-on-failure -j4
--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -30,9 +30,10 @@
     return "?";
 }
 
-Daemon::Daemon(protocol::Config config, ReadConfig read, Log& log)
+Daemon::Daemon(protocol::Config config, OwnSettings own, Sources sources, Log& log)
     : config_(std::move(config)),
-      read_(std::move(read)),
+      own_(std::move(own)),
+      sources_(std::move(sources)),
       log_(log),
       logger_([&log](const char* topic, const std::string& text) { log.line(topic, text); }),
       flush_(loop_,
@@ -112,11 +113,15 @@
                     logger_);
 }
 
-// SIGHUP: the addresses of relay and discovery are taken from the file, whatever the environment named at the
-// start. The module, and all that it has learned, stays.
+// SIGHUP: both files are read before anything is taken from either. The addresses of relay and discovery are
+// taken from the file, whatever the environment named at the start. The module, and all that it has learned,
+// stays.
 void Daemon::reload() {
     try {
-        moveTo(read_());
+        const protocol::Config config = sources_.config();
+        OwnSettings own = sources_.settings();
+        take(std::move(own));
+        moveTo(config);
     } catch (const std::exception& e) {
         if (readsLeft_ == kReadsMost)
             log_.line("reload", std::string("the old configuration holds: ") + e.what());
@@ -141,6 +146,14 @@
     config_.discovery = config.discovery;
 }
 
+void Daemon::take(OwnSettings own) {
+    for (const std::string& name : changedForNextStart(own_, own)) {
+        log_.line("reload", name + " has changed; it holds from the next start on");
+    }
+    if (own.log != own_.log) log_.set(own.log);
+    own_ = std::move(own);
+}
+
 void Daemon::stop(const char* signal) {
     log_.line("phase", std::string(signal) + " has come");
     enter(Phase::stopping);
--- a/src/program/daemon.h
+++ b/src/program/daemon.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "program/log.h"
+#include "program/settings.h"
 #include "protocol/config.h"
 #include "routing/catalog_watch.h"
 #include "routing/intake.h"
@@ -28,10 +29,14 @@
 
 class Daemon {
 public:
-    using ReadConfig = std::function<protocol::Config()>;  // throws BadConfig
+    // What is read at the start and again at every SIGHUP. Each throws std::runtime_error with one plain
+    // line.
+    struct Sources {
+        std::function<protocol::Config()> config;
+        std::function<OwnSettings()> settings;
+    };
 
-    // `read` is asked again at every SIGHUP.
-    Daemon(protocol::Config config, ReadConfig read, Log& log);
+    Daemon(protocol::Config config, OwnSettings own, Sources sources, Log& log);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
@@ -47,11 +52,13 @@
     void stop(const char* signal);
     void reload();
     void moveTo(const protocol::Config& config);
+    void take(OwnSettings own);
     [[nodiscard]] routing::PlannerThread::Outlets outlets();
     [[nodiscard]] std::function<bool(routing::Input)> toModule();
 
     protocol::Config config_;  // after the start only the addresses of relay and discovery change
-    const ReadConfig read_;
+    OwnSettings own_;
+    const Sources sources_;
     Log& log_;
     const routing::Logger logger_;
     Phase phase_ = Phase::starting;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -2,18 +2,24 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 
+#include "program/check.h"
+#include "program/command_line.h"
 #include "program/daemon.h"
 
 namespace {
 
-// The environment names the file, and may name the planner's address for itself.
-marldale::protocol::Config readConfig() {
-    const char* path = std::getenv("RELAY_CONFIG");
-    if (path == nullptr) throw marldale::protocol::BadConfig("RELAY_CONFIG is not set");
+using marldale::program::CommandLine;
+using marldale::program::OwnSettings;
+using marldale::settings::Problem;
+
+// The environment may name the planner's address for itself.
+marldale::protocol::Config readConfig(const std::string& path) {
+    if (path.empty()) throw marldale::protocol::BadConfig("RELAY_CONFIG is not set");
     std::ifstream file(path, std::ios::binary);
-    if (!file) throw marldale::protocol::BadConfig("can't read " + std::string(path));
+    if (!file) throw marldale::protocol::BadConfig("can't read " + path);
     const std::string text{std::istreambuf_iterator<char>(file), {}};
     marldale::protocol::Config config = marldale::protocol::parseConfig(text);
     if (const char* name = std::getenv("RELAY_NAME")) config.name = name;
@@ -22,12 +28,22 @@
 }
 
 // Discovery's address in the environment holds at the start only; after SIGHUP the file's holds.
-marldale::protocol::Config firstConfig() {
-    marldale::protocol::Config config = readConfig();
+marldale::protocol::Config firstConfig(const std::string& path) {
+    marldale::protocol::Config config = readConfig(path);
     if (const char* discovery = std::getenv("RELAY_DISCOVERY")) config.discovery = discovery;
     return config;
 }
 
+OwnSettings readSettings(const std::string& path) {
+    std::vector<Problem> problems;
+    OwnSettings out = marldale::program::readOwnSettings(path, problems);
+    if (problems.empty()) return out;
+    std::string text = problems.front().shown();
+    if (problems.size() > 1)
+        text += " (and " + std::to_string(problems.size() - 1) + " more: marldale check)";
+    throw std::runtime_error(text);
+}
+
 // Until the daemon can take it, a SIGHUP waits: its default would end the program.
 void holdHangUp(int how) {
     sigset_t set;
@@ -36,13 +52,15 @@
     pthread_sigmask(how, &set, nullptr);
 }
 
-}  // namespace
-
-int main() {
-    holdHangUp(SIG_BLOCK);
+int serve(const CommandLine& asked) {
     try {
-        marldale::program::Log log;
-        marldale::program::Daemon daemon(firstConfig(), readConfig, log);
+        const marldale::program::Daemon::Sources sources{[&asked] { return readConfig(asked.config); },
+                                                         [&asked] { return readSettings(asked.settings); }};
+        marldale::protocol::Config config = firstConfig(asked.config);
+        OwnSettings own = sources.settings();
+        marldale::program::Log log(stderr, own.log);
+        log.setName(config.name);
+        marldale::program::Daemon daemon(std::move(config), std::move(own), sources, log);
         holdHangUp(SIG_UNBLOCK);
         daemon.run();
     } catch (const std::exception& e) {
@@ -51,3 +69,19 @@
     }
     return 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    using marldale::program::Verb;
+    holdHangUp(SIG_BLOCK);
+    int status = 0;
+    const auto asked = marldale::program::parseCommandLine(argc, argv, status);
+    if (!asked) return status;
+    switch (asked->verb) {
+        case Verb::serve: return serve(*asked);
+        case Verb::check: return marldale::program::check(*asked, std::cout);
+        case Verb::version: std::puts("marldale " MARLDALE_VERSION); return 0;
+    }
+    return 1;
+}
--- a/src/protocol/config.cpp
+++ b/src/protocol/config.cpp
@@ -46,11 +46,12 @@
     }
 }
 
-std::string required(const Json& object, const char* key) {
+std::string required(const Json& object, const char* key, const char* path) {
     auto text = textIn(object, key);
-    if (!text || text->empty()) throw BadConfig("the configuration has no " + std::string(key));
+    if (!text || text->empty()) throw BadConfig("the configuration has no " + std::string(path));
     return std::move(*text);
 }
+std::string required(const Json& object, const char* key) { return required(object, key, key); }
 
 const Json& part(const Json& object, const char* key) {
     const auto at = object.find(key);
@@ -88,6 +89,16 @@
     }
 }
 
+void readSettings(const Json& settings, Config& out, std::vector<std::string>* problems) {
+    try {
+        out.settings = wire::parseSettings(flattenSettings(settings), problems);
+    } catch (const std::exception& e) {
+        throw BadConfig(e.what());
+    }
+    out.fixed += settings.dump();
+    readNames(settings, out);
+}
+
 }  // namespace
 
 std::string flattenSettings(const Json& settings) {
@@ -96,30 +107,37 @@
     return out;
 }
 
-Config parseConfig(std::string_view text) {
-    const Json object = parseJson(text);
-    if (!object.is_object()) throw BadConfig("the configuration is no JSON object");
+Config parseConfig(std::string_view text, std::vector<std::string>* problems) {
+    // One thing that is wrong ends it, or is noted and the rest is read all the same.
+    const auto attempt = [problems](const auto& read) {
+        try {
+            read();
+        } catch (const BadConfig& e) {
+            if (problems == nullptr) throw;
+            problems->emplace_back(e.what());
+        }
+    };
     Config out;
-    out.name = required(object, "name");
-    out.listen = required(object, "listen");
-    out.discovery = required(object, "discovery");
-    out.relay = required(part(object, "relay"), "address");
+    const Json object = parseJson(text);
+    attempt([&] {
+        if (!object.is_object()) throw BadConfig("the configuration is no JSON object");
+    });
+    if (!object.is_object()) return out;
+    attempt([&] { out.name = required(object, "name"); });
+    attempt([&] { out.listen = required(object, "listen"); });
+    attempt([&] { out.discovery = required(object, "discovery"); });
+    attempt([&] { out.relay = required(part(object, "relay"), "address", "relay.address"); });
     if (const auto limits = object.find("limits"); limits != object.end() && limits->is_object()) {
         out.fixed = limits->dump();
         out.sockets = wholeIn<std::uint32_t>(*limits, "sockets", 1U << 20U).value_or(0);
     }
-    const Json& settings = part(object, "settings");
-    try {
-        out.settings = wire::parseSettings(flattenSettings(settings));
-    } catch (const std::exception& e) {
-        throw BadConfig(e.what());
-    }
-    out.settings.seed = seedIn(object);
-    out.fixed += settings.dump();
-    readNames(settings, out);
-    const auto known = readCatalog(part(object, "known"));
-    if (!known) throw BadConfig("the known list can't be read");
-    out.known = *known;
+    attempt([&] { readSettings(part(object, "settings"), out, problems); });
+    attempt([&] { out.settings.seed = seedIn(object); });
+    attempt([&] {
+        const auto known = readCatalog(part(object, "known"));
+        if (!known) throw BadConfig("the known list can't be read");
+        out.known = *known;
+    });
     return out;
 }
 
--- a/src/protocol/config.h
+++ b/src/protocol/config.h
@@ -26,8 +26,9 @@
     std::vector<std::string> kinds;    // by index
 };
 
-// Throws BadConfig with one plain line.
-[[nodiscard]] Config parseConfig(std::string_view text);
+// Throws BadConfig with one plain line at the first thing that is wrong. With `problems` it throws nothing:
+// all that is wrong is noted there, a sentence each, and the configuration is not to be used if there is any.
+[[nodiscard]] Config parseConfig(std::string_view text, std::vector<std::string>* problems = nullptr);
 
 // Nested settings as the path=value lines that wire/settings reads, so that there is one parser of them.
 [[nodiscard]] std::string flattenSettings(const Json& settings);
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -1,5 +1,6 @@
 #include "wire/settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <map>
@@ -7,7 +8,8 @@
 namespace marldale::wire {
 namespace {
 
-constexpr std::size_t kZonesMost = 32;  // ClassSettings::zones has a bit for each
+constexpr std::size_t kZonesMost = 32;      // ClassSettings::zones has a bit for each
+constexpr std::uint32_t kClassesMost = 16;  // a ClassMask has a bit for each
 
 using Pairs = std::map<std::string, std::string, std::less<>>;
 
@@ -59,35 +61,57 @@
     unreadable(path, value);
 }
 
+template <class Value>
+struct Word {
+    std::string_view text;
+    Value value;
+};
+
 class Reader {
 public:
-    explicit Reader(std::string_view text) : pairs_(splitPairs(text)) {}
+    // With `problems` all that is wrong is noted there, and what can't be read is taken for its default.
+    Reader(std::string_view text, std::vector<std::string>* problems)
+        : pairs_(splitPairs(text)), problems_(problems) {}
 
     [[nodiscard]] const std::string* find(const std::string& path) const {
         const auto it = pairs_.find(path);
         return it == pairs_.end() ? nullptr : &it->second;
     }
-    [[nodiscard]] const std::string& text(const std::string& path) const {
+    template <class Value, class Read>
+    [[nodiscard]] Value noted(Value instead, const Read& read) const {
+        if (problems_ == nullptr) return read();
+        try {
+            return read();
+        } catch (const std::runtime_error& e) {
+            problems_->emplace_back(e.what());
+            return instead;
+        }
+    }
+    [[nodiscard]] const std::string& needed(const std::string& path) const {
         const std::string* value = find(path);
         if (value == nullptr) throw MissingSetting("setting " + path + " is missing");
         return *value;
     }
-    [[nodiscard]] double number(const std::string& path) const { return toNumber(path, text(path)); }
+    [[nodiscard]] double number(const std::string& path) const {
+        return noted(0.0, [&] { return toNumber(path, needed(path)); });
+    }
     [[nodiscard]] double number(const std::string& path, double absent) const {
         const std::string* value = find(path);
-        return value == nullptr ? absent : toNumber(path, *value);
+        return value == nullptr ? absent : noted(absent, [&] { return toNumber(path, *value); });
     }
     [[nodiscard]] Micros micros(const std::string& path) const { return std::llround(number(path)); }
     [[nodiscard]] Micros micros(const std::string& path, Micros absent) const {
         return std::llround(number(path, static_cast<double>(absent)));
     }
-    [[nodiscard]] std::uint32_t count(const std::string& path) const { return small(path, number(path)); }
+    [[nodiscard]] std::uint32_t count(const std::string& path) const {
+        return noted(std::uint32_t{0}, [&] { return small(path, toNumber(path, needed(path))); });
+    }
     [[nodiscard]] std::uint32_t count(const std::string& path, std::uint32_t absent) const {
-        return small(path, number(path, absent));
+        return noted(absent, [&] { return small(path, number(path, absent)); });
     }
     [[nodiscard]] bool flag(const std::string& path, bool absent) const {
         const std::string* value = find(path);
-        return value == nullptr ? absent : toFlag(path, *value);
+        return value == nullptr ? absent : noted(absent, [&] { return toFlag(path, *value); });
     }
     [[nodiscard]] std::vector<std::string> list(const std::string& path) const {
         const std::string* value = find(path);
@@ -96,7 +120,24 @@
     // One flag for each class, as a list; absent items are false.
     [[nodiscard]] bool flagAt(const std::string& path, std::size_t index) const {
         const auto items = list(path);
-        return index < items.size() && toFlag(path, items[index]);
+        return index < items.size() && noted(false, [&] { return toFlag(path, items[index]); });
+    }
+    // One of some words; the first of them where it can't be read and problems are noted.
+    template <class Value, std::size_t N>
+    [[nodiscard]] Value word(const std::string& path, const Word<Value> (&words)[N]) const {
+        return noted(words[0].value, [&] {
+            const std::string& text = needed(path);
+            for (const Word<Value>& word : words) {
+                if (word.text == text) return word.value;
+            }
+            unreadable(path, text);
+        });
+    }
+    void missing(const std::string& path) const {
+        (void)noted(0, [&]() -> int { throw MissingSetting("setting " + path + " is missing"); });
+    }
+    void fail(const std::string& path, const std::string& value) const {
+        (void)noted(0, [&]() -> int { unreadable(path, value); });
     }
 
 private:
@@ -106,22 +147,9 @@
     }
 
     Pairs pairs_;
+    std::vector<std::string>* problems_;
 };
 
-template <class Value>
-struct Word {
-    std::string_view text;
-    Value value;
-};
-
-template <class Value, std::size_t N>
-Value oneOf(const std::string& path, std::string_view text, const Word<Value> (&words)[N]) {
-    for (const Word<Value>& word : words) {
-        if (word.text == text) return word.value;
-    }
-    unreadable(path, text);
-}
-
 ClassSettings readClass(const Reader& in, std::size_t index) {
     static constexpr Word<Repeat> kRepeats[] = {
         {"retryable", Repeat::retryable}, {"dedup", Repeat::dedup}, {"fragile", Repeat::fragile}};
@@ -134,15 +162,15 @@
     out.giveUp = in.micros(at + "giveUpUs", out.aim);
     out.worth = in.number(at + "points", 1);
     out.lateWorth = in.number(at + "lateWorth", 0);
-    out.repeat = oneOf(at + "idempotency", in.text(at + "idempotency"), kRepeats);
-    if (const std::string* group = in.find(at + "group")) out.group = oneOf(at + "group", *group, kGroups);
+    out.repeat = in.word(at + "idempotency", kRepeats);
+    if (in.find(at + "group") != nullptr) out.group = in.word(at + "group", kGroups);
     out.dedupWindow = in.micros(at + "memorySpanUs", 0);
     out.writes = in.flagAt("extra.writers", index);
     out.ownZoneOnly = in.flagAt("extra.zoneBound", index);
     if (const std::string* zones = in.find(at + "onlyZones"); zones != nullptr && !zones->empty()) {
         out.zones = 0;
         for (const std::string& zone : splitList(*zones)) {
-            const double index = toNumber(at + "onlyZones", zone);
+            const double index = in.noted(0.0, [&] { return toNumber(at + "onlyZones", zone); });
             if (index < kZonesMost) out.zones |= 1U << static_cast<unsigned>(index);
         }
     }
@@ -182,34 +210,36 @@
 
 }  // namespace
 
-Settings parseSettings(std::string_view text) {
+Settings parseSettings(std::string_view text, std::vector<std::string>* problems) {
     static constexpr Word<Admission> kAdmissions[] = {
         {"none", Admission::none}, {"share", Admission::share}, {"rate", Admission::rate}};
     static constexpr Word<bool> kListModes[] = {{"pushed", false}, {"on_request", true}};
-    const Reader in(text);
+    const Reader in(text, problems);
     Settings out;
     out.me = in.count("me", 0);
     out.planners = in.count("balancers", 1);
     const auto zones = in.list("failureDomains");
-    if (zones.empty()) throw MissingSetting("setting failureDomains is missing");
-    if (zones.size() > kZonesMost) unreadable("failureDomains", "more than 32 zones");
+    if (zones.empty()) in.missing("failureDomains");
+    if (zones.size() > kZonesMost) in.fail("failureDomains", "more than 32 zones");
     out.zones = static_cast<std::uint32_t>(zones.size());
-    if (const std::string* zone = in.find("locality")) out.myZone = zoneIndex(*zone, zones);
+    if (const std::string* zone = in.find("locality")) {
+        out.myZone = in.noted(std::uint32_t{0}, [&] { return zoneIndex(*zone, zones); });
+    }
     out.proxies = in.count("extra.agents", 0);
     out.shards = in.count("extra.shards", 0);
     out.oneOwner = in.flag("extra.oneOwner", false);
-    out.listOnRequest = oneOf("membershipMode", in.text("membershipMode"), kListModes);
+    out.listOnRequest = in.word("membershipMode", kListModes);
     out.mayProbe = in.flag("limits.probes", false);
     out.loadFields = in.list("telemetry.fields");
     if (const std::string* how = in.find("telemetry.how")) out.reportsInAnswers = *how == "answers";
-    out.admission = oneOf("extra.admission", in.text("extra.admission"), kAdmissions);
+    out.admission = in.word("extra.admission", kAdmissions);
     out.defaultRetry = static_cast<int>(in.count("extra.defaultRetry", 1));
     out.perTryAims = in.number("extra.perTry", 1);
     readChannel(in, out);
     readRules(in, out);
     const std::uint32_t classes = in.count("categories.count");
-    if (classes == 0 || classes > 16) unreadable("categories.count", std::to_string(classes));
-    for (std::size_t i = 0; i < classes; ++i) out.classes.push_back(readClass(in, i));
+    if (classes == 0 || classes > kClassesMost) in.fail("categories.count", std::to_string(classes));
+    for (std::size_t i = 0; i < std::min(classes, kClassesMost); ++i) out.classes.push_back(readClass(in, i));
     return out;
 }
 
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <stdexcept>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "policy/types.h"
 
@@ -18,6 +20,9 @@
     using std::runtime_error::runtime_error;
 };
 
-[[nodiscard]] Settings parseSettings(std::string_view text);
+// Throws at the first setting that is wrong. With `problems` it throws only at text that is not path=value
+// lines: all that is wrong is noted there, a sentence each, and the settings are not to be used if there is
+// any.
+[[nodiscard]] Settings parseSettings(std::string_view text, std::vector<std::string>* problems = nullptr);
 
 }  // namespace marldale::wire
--- a/tests/program/program_test.cpp
+++ b/tests/program/program_test.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <map>
 #include <random>
+#include <sstream>
 
 #include "program/log.h"
 #include "protocol/frames.h"
@@ -26,21 +27,27 @@
 using tests::runUntil;
 using tests::Scripted;
 
-// One run of build/marldale with its environment and standard error in a file.
+// One run of build/marldale with its environment and words, and all that it writes in a file.
 class Process {
 public:
     explicit Process(const std::string& config, const std::string& directory,
-                     const std::map<std::string, std::string>& environment = {})
+                     const std::map<std::string, std::string>& environment = {},
+                     const std::vector<std::string>& words = {})
         : errors_(directory + "/stderr") {
         pid_ = fork();
         if (pid_ != 0) return;
         const int out = open(errors_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(out, STDERR_FILENO);
-        for (const char* name : {"RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"})
+        dup2(out, STDOUT_FILENO);
+        for (const char* name :
+             {"RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG", "MARLDALE_SETTINGS"})
             unsetenv(name);
         for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
         if (!config.empty()) setenv("RELAY_CONFIG", config.c_str(), 1);
-        execl(MARLDALE_PROGRAM, MARLDALE_PROGRAM, nullptr);
+        std::vector<char*> arguments = {const_cast<char*>(MARLDALE_PROGRAM)};
+        for (const std::string& word : words) arguments.push_back(const_cast<char*>(word.c_str()));
+        arguments.push_back(nullptr);
+        execv(MARLDALE_PROGRAM, arguments.data());
         _exit(127);
     }
     ~Process() {
@@ -165,6 +172,88 @@
     }
 }
 
+// ---- Words and settings ----
+
+TEST_F(ProgramTest, CheckTellsAllThatIsWrongInEveryFileAtOnce) {
+    const std::string good = writeConfig(tests::smallConfigJson());
+    const std::string settings = directory + "/own.ini", bad = directory + "/bad.json";
+    std::ofstream(settings) << "[log]\nform = xml\nlines_mots = 1\n";
+    std::ofstream(bad) << R"({"relay":{"address":"here"},"settings":{"membershipMode":"shouted"}})";
+    Process process(good, directory, {{"MARLDALE_SETTINGS", settings}}, {"check", bad});
+    EXPECT_EQ(process.end(0), 1);
+    const std::string told = process.errors();
+    for (const char* line :
+         {"own.ini:2: form = xml is not allowed: it takes one of text, json\n",
+          "own.ini:3: unknown key lines_mots in [log]; the nearest known is lines_most\n",
+          "bad.json: the configuration has no name\n", "bad.json: relay.address is no address: here\n",
+          "bad.json: setting membershipMode can't be read: shouted\n",
+          "bad.json: setting rules.warmUpUs is missing\n", "3 files, "}) {
+        EXPECT_NE(told.find(line), std::string::npos) << line << "\n" << told;
+    }
+    EXPECT_EQ(told.find(good), std::string::npos) << "a file that is right is not named";
+}
+
+TEST_F(ProgramTest, CheckEndsWithAStatusForEachOutcome) {
+    const std::string good = writeConfig(tests::smallConfigJson());
+    EXPECT_EQ(Process(good, directory, {}, {"check"}).end(0), 0);
+    EXPECT_EQ(Process("", directory, {}, {"check"}).end(0), 2) << "there was nothing to check";
+    EXPECT_EQ(Process("", directory, {}, {"check", "--config", directory + "/nowhere"}).end(0), 1);
+    EXPECT_EQ(Process("", directory, {}, {"chekc"}).end(0), 2) << "no such word";
+    EXPECT_EQ(Process("", directory, {}, {"--help"}).end(0), 0);
+    EXPECT_EQ(Process("", directory, {}, {"version"}).end(0), 0);
+    EXPECT_EQ(Process("", directory, {}, {"check", "--keys"}).end(0), 0);
+}
+
+TEST_F(ProgramTest, OperatorsPageHasEveryKeyAsItIs) {
+    Process process("", directory, {}, {"check", "--keys"});
+    ASSERT_EQ(process.end(0), 0);
+    std::ifstream in(MARLDALE_SETTINGS_PAGE);
+    const std::string page{std::istreambuf_iterator<char>(in), {}};
+    const std::string head = "<!-- marldale check --keys -->\n";
+    const auto from = page.find(head) + head.size();
+    EXPECT_EQ(page.substr(from, page.find("<!-- end -->") - from), process.errors());
+}
+
+TEST_F(ProgramTest, SettingsThatAreWrongEndItBeforeItListens) {
+    const std::string settings = directory + "/own.ini";
+    std::ofstream(settings) << "[log]\nform = xml\nlines_mots = 1\n";
+    Process process(writeConfig(tests::smallConfigJson()), directory, {}, {"serve", "--settings", settings});
+    EXPECT_EQ(process.end(0), 1);
+    EXPECT_NE(process.errors().find("own.ini:2: form = xml is not allowed: it takes one of text, json "
+                                    "(and 1 more: marldale check)"),
+              std::string::npos)
+        << process.errors();
+}
+
+TEST_F(ProgramTest, LogTurnsToJsonAtHangUpAndBadSettingsChangeNothing) {
+    const std::string settings = directory + "/own.ini";
+    std::ofstream(settings) << "[log]\nform = text\n";
+    Scripted relay(loop, takeAll), discovery(loop, [](Scripted::Client&) {});
+    Process process(writeConfig(config(relay.address(), discovery.address())), directory,
+                    {{"MARLDALE_SETTINGS", settings}});
+    ASSERT_TRUE(alive());
+    std::ofstream(settings) << "[log]\nform = json\n";
+    process.signal(SIGHUP);
+    const auto written = [&](const char* text) {
+        return runUntil(loop, [&] { return process.errors().find(text) != std::string::npos; });
+    };
+    ASSERT_TRUE(written("\"topic\":\"reload\"")) << process.errors();
+    std::ofstream(settings) << "[log]\nform = xml\n";
+    process.signal(SIGHUP);
+    ASSERT_TRUE(written("the old configuration holds")) << process.errors();
+    EXPECT_EQ(process.end(SIGTERM), 0);
+    std::istringstream lines(process.errors());
+    std::size_t objects = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const Json object = Json::parse(line, nullptr, false);
+        if (!object.is_object()) continue;
+        ++objects;
+        for (const char* key : {"time", "level", "name", "topic", "text"})
+            EXPECT_TRUE(object.contains(key)) << line;
+    }
+    EXPECT_GE(objects, 3U);
+}
+
 // ---- SIGHUP ----
 
 TEST_F(ProgramTest, HangUpMovesToTheAddressesOfTheFile) {
@@ -293,5 +382,29 @@
     EXPECT_NE(written.find("loud: later"), std::string::npos);
 }
 
+TEST(Logs, JsonLinesCountWhatWasLeftOutUnderAKeyOfItsOwn) {
+    char* text = nullptr;
+    std::size_t size = 0;
+    std::FILE* file = open_memstream(&text, &size);
+    ASSERT_NE(file, nullptr);
+    {
+        program::Log log(file, {program::LogForm::json, 2, std::chrono::seconds{1}});
+        log.setName("n7");
+        const program::Log::Time start{std::chrono::seconds{100}};
+        for (int i = 0; i < 5; ++i) log.line("loud", "say \"again\"", start);
+        log.line("loud", "later", start + std::chrono::seconds{1});
+    }
+    std::istringstream lines(std::string(text, size));
+    std::fclose(file);
+    std::free(text);
+    std::vector<Json> objects;
+    for (std::string line; std::getline(lines, line);) objects.push_back(Json::parse(line));
+    ASSERT_EQ(objects.size(), 4U);
+    EXPECT_EQ(objects[0]["text"], "say \"again\"");
+    EXPECT_EQ(objects[0]["name"], "n7");
+    EXPECT_EQ(objects[2]["left_out"], 3);
+    EXPECT_EQ(objects[3]["text"], "later");
+}
+
 }  // namespace
 }  // namespace marldale
