Dispatch: a book of what the module orders, and lanes that are sent what differs

Need: a turn's orders must reach every stream whose proxies they concern, and none else; a stream that is behind must neither hold up the module nor gather a queue, and a relay that comes back should not be sent what it still holds.

Change: src/dispatch, no I/O: TableBook (every line, level, bind and shut with a version), Lane (one batch out, refusals sent anew once and then dropped, unknown outcomes, marks merged, returns from a remembered state with a hash over the table) and Dispatcher (all lanes; how long the platform's call may hold up the module). protocol/order.h: orders by name, of which the platform's text is one form; the translator uses it.

--- /dev/null
+++ b/src/dispatch/lane.h
@@ -0,0 +1,143 @@
+// One stream to a relay: what it holds, the batch that is out, and what follows from its answers. No I/O;
+// time is told.
+//
+// A lane has at most one batch out. Once that is answered, the next brings what differs by then between the
+// book and what the lane holds: a lane that is behind gathers no queue.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "dispatch/table_book.h"
+
+namespace marldale::dispatch {
+
+using LaneId = std::uint32_t;
+inline constexpr LaneId kPlatform = 0;  // the platform's relay
+
+// Start a table with the lines and levels that the relay holds in another one.
+struct LayOrder {
+    TableId table = 0, like = 0;
+    bool operator==(const LayOrder&) const = default;
+};
+// The table must have this hash by now, or the batch is refused here.
+struct CheckOrder {
+    TableId table = 0;
+    std::uint64_t hash = 0;
+    bool operator==(const CheckOrder&) const = default;
+};
+using LaneOrder =
+    std::variant<protocol::LineOrder, protocol::ClearOrder, protocol::BindOrder, protocol::ShutOrder,
+                 protocol::LevelOrder, protocol::MarkOrder, LayOrder, CheckOrder>;
+
+// As the platform would write it, for the log.
+[[nodiscard]] std::string laneOrderText(const LaneOrder& order, const std::vector<std::string>& classes);
+
+struct Batch {
+    std::uint64_t nonce = 0;  // grows; its answer names it
+    std::vector<LaneOrder> orders;
+};
+
+struct LaneRules {
+    bool maySkipLines = true;                                  // it knows LayOrder and CheckOrder
+    Micros answerWithin = std::numeric_limits<Micros>::max();  // of a batch; later its outcome is unknown
+    std::uint32_t messagesMost = 0;  // to one proxy within messagesOver; 0: no such limit
+    Micros messagesOver = 0;
+};
+
+// What a relay held when its stream ended: enough to go on from there if it comes back and says what it took.
+struct Parted {
+    struct Held {
+        Version born = 0, upTo = 0;
+        bool operator==(const Held&) const = default;
+    };
+    using Tables = std::map<TableId, Held>;
+    Tables held, withOut;                 // without and with the batch that was out
+    std::uint64_t answered = 0, out = 0;  // their nonces; 0: there is none
+};
+
+class Lane {
+public:
+    explicit Lane(LaneRules rules, std::uint64_t nonce) : rules_(rules), nonce_(nonce) {}
+
+    void own(ProxyId proxy) { proxies_[proxy] = 0; }
+    void disown(ProxyId proxy) { proxies_.erase(proxy); }
+    [[nodiscard]] const std::map<ProxyId, Version>& proxies() const { return proxies_; }
+
+    // Before any batch: it holds these tables, and knows all shuts up to this version.
+    void begin(Parted::Tables held, Version shutsUpTo);
+    // What is remembered of a lane that ends.
+    [[nodiscard]] std::optional<Parted> part() const;
+
+    // A turn has ended with this mark, or with none. Whoever it concerns answers it once.
+    void turned(std::optional<protocol::MarkOrder> mark);
+
+    // What is to be sent now, if anything: the difference, or what is sent anew.
+    [[nodiscard]] std::optional<Batch> next(const TableBook& book, Micros now);
+
+    struct Verdict {
+        std::vector<std::string> told;  // for the log
+        bool ends = false;              // the lane is of no use any more
+        bool forget = false;            // and what it held is not to be trusted
+    };
+    // `classes`: their names, for the log.
+    [[nodiscard]] Verdict answered(std::uint64_t nonce, std::size_t taken, const std::string& reason,
+                                   const std::vector<std::string>& classes, Micros now);
+    // The batch that is out was carried out, by one who drops and sends anew for himself.
+    void settled() {
+        if (out_) settle();
+    }
+    // What time has brought: a batch without an answer.
+    [[nodiscard]] Verdict due(Micros now) const;
+    [[nodiscard]] std::optional<Micros> nextDue() const;
+
+    // The marks that an answer to `mark` speaks for, the earliest first.
+    [[nodiscard]] std::vector<std::uint16_t> marksOf(std::uint16_t mark) const;
+
+    [[nodiscard]] bool clear() const { return !out_; }
+    [[nodiscard]] const Parted::Tables& held() const { return held_; }
+    // Orders of the last batch that `next` made by itself, and what they would have been without LayOrder.
+    [[nodiscard]] std::size_t linesSaved() const { return linesSaved_; }
+
+private:
+    struct Out {
+        Batch batch;
+        std::size_t first = 0;             // taken so far
+        std::size_t refusedAt = SIZE_MAX;  // an order that was refused once
+        Micros sentAt = 0;
+        bool waits = false;   // it is to be sent anew, at `sentAt`
+        Parted::Tables held;  // once it is taken
+        std::map<ProxyId, Version> told;
+        Version shutsUpTo = 0;
+    };
+    class Difference;
+
+    void settle();
+    void resend(Micros now);
+    [[nodiscard]] Micros earliest(Micros now) const;
+    void sent(Micros now);
+
+    LaneRules rules_;
+    std::uint64_t nonce_;  // of the last batch
+    std::uint64_t answered_ = 0;
+    std::map<ProxyId, Version> proxies_;  // up to which version its binds are told
+    Parted::Tables held_;
+    Version shutsUpTo_ = 0;
+    bool refused_ = false;  // something was, so what it holds can't be told by a nonce
+    bool dropped_ = false;  // something was, for good: what it holds is not all that was ordered
+    std::optional<Out> out_;
+    std::vector<std::uint16_t> marks_;  // of turns since the last batch
+    bool everyProxy_ = false;
+    std::deque<std::vector<std::uint16_t>> covered_;  // marks that went as one, the last one speaking for all
+    std::deque<Micros> sentTimes_;
+    std::size_t linesSaved_ = 0;
+};
+
+}  // namespace marldale::dispatch
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -1,8 +1,6 @@
 #include "routing/translator.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 #include "routing/limits.h"
 
@@ -15,16 +13,6 @@
     return static_cast<std::size_t>(at - names.begin());
 }
 
-// In plain digits: not every reader of orders knows exponents.
-std::string digits(float value) {
-    std::array<char, 64> text{};
-    const auto end =
-        std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed).ptr;
-    return {text.data(), end};
-}
-
-std::string tableName(TableId table) { return table == kAllTables ? "*" : std::to_string(table); }
-
 }  // namespace
 
 Translator::Translator(const protocol::Config& config, Logger log)
@@ -191,45 +179,43 @@
     }
 }
 
-std::string Translator::classNames(ClassMask classes) const {
-    if (classes == 0) return "*";
-    std::string out;
-    for (std::size_t k = 0; k < classes_.size(); ++k) {
-        if ((classes >> k & 1U) != 0) out += (out.empty() ? "" : "+") + classes_[k];
-    }
-    return out;
-}
-
 struct Translator::OrderWriter {
     const Translator& self;
-    using Text = std::optional<std::string>;
-    Text operator()(const SetLine& a) const {
-        if (!self.servers_.count(a.server)) return std::nullopt;
-        return "share," + tableName(a.table) + ',' + self.servers_.at(a.server).uid + ',' + digits(a.weight);
-    }
-    Text operator()(const DropLines& a) const { return "clear," + tableName(a.table); }
-    Text operator()(const Bind& a) const {
-        return "bind," + std::to_string(a.proxy) + ',' + tableName(a.table) + ',' +
-               self.classNames(a.classes);
-    }
-    Text operator()(const Withdraw& a) const {
-        if (!self.servers_.count(a.server)) return std::nullopt;
-        return (a.out ? "withdraw," : "restore,") + self.servers_.at(a.server).uid;
-    }
-    Text operator()(const SetLevel& a) const {
-        return "admit," + tableName(a.table) + ',' + self.classNames(a.classes) + ',' + digits(a.limit) +
-               ',' + std::to_string(a.retryMode);
-    }
-    Text operator()(const Mark& a) const {
-        return "mark," + std::to_string(a.mark) + (a.everyProxy ? ",1" : ",0");
-    }
-    Text operator()(const auto& /*no order*/) const { return std::nullopt; }
+    using Named = std::optional<protocol::Order>;
+    Named operator()(const SetLine& a) const {
+        const std::string* uid = self.uidOf(a.server);
+        if (uid == nullptr) return std::nullopt;
+        return protocol::LineOrder{a.table, *uid, a.weight};
+    }
+    Named operator()(const DropLines& a) const { return protocol::ClearOrder{a.table}; }
+    Named operator()(const Bind& a) const { return protocol::BindOrder{a.proxy, a.table, a.classes}; }
+    Named operator()(const Withdraw& a) const {
+        const std::string* uid = self.uidOf(a.server);
+        if (uid == nullptr) return std::nullopt;
+        return protocol::ShutOrder{*uid, a.out};
+    }
+    Named operator()(const SetLevel& a) const {
+        return protocol::LevelOrder{a.table, a.classes, a.limit, a.retryMode};
+    }
+    Named operator()(const Mark& a) const { return protocol::MarkOrder{a.mark, a.everyProxy}; }
+    Named operator()(const auto& /*no order*/) const { return std::nullopt; }
 };
 
-std::optional<std::string> Translator::order(const Action& action) const {
+const std::string* Translator::uidOf(ServerId server) const {
+    const auto at = servers_.find(server);
+    return at == servers_.end() ? nullptr : &at->second.uid;
+}
+
+std::optional<protocol::Order> Translator::named(const Action& action) const {
     return std::visit(OrderWriter{*this}, action);
 }
 
+std::optional<std::string> Translator::order(const Action& action) const {
+    const auto out = named(action);
+    if (!out) return std::nullopt;
+    return protocol::orderText(*out, classes_);
+}
+
 double Translator::linesAtMost(const std::vector<Action>& actions) const {
     const auto joined = static_cast<double>(joined_.size());
     const auto table = static_cast<double>(servers_.size() - gone_.size() + classes_.size() + 1);
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -13,6 +13,7 @@
 #include "policy/types.h"
 #include "protocol/catalog.h"
 #include "protocol/config.h"
+#include "protocol/order.h"
 #include "protocol/relay.h"
 #include "protocol/reports.h"
 #include "routing/clock.h"
@@ -40,8 +41,9 @@
     // Appends the module's events for one input: none, one, or several.
     void events(const Input& input, std::vector<Event>& out);
 
-    // The order's text; nothing if the action is no order, or names what discovery has not listed.
-    [[nodiscard]] std::optional<std::string> order(const Action& action) const;
+    // The order by name; nothing if the action is no order, or names what discovery has not listed.
+    [[nodiscard]] std::optional<protocol::Order> named(const Action& action) const;
+    [[nodiscard]] std::optional<std::string> order(const Action& action) const;  // as the platform's text
 
     // What these actions put into the channel at most: as if every order concerned every joined proxy.
     [[nodiscard]] double linesAtMost(const std::vector<Action>& actions) const;
@@ -69,7 +71,7 @@
     [[nodiscard]] std::optional<ServerId> serverOf(const std::string& uid) const;
     [[nodiscard]] std::optional<ZoneId> zoneOf(const std::string& name) const;
     [[nodiscard]] LoadReport loadReport(const protocol::LoadValues& values) const;
-    [[nodiscard]] std::string classNames(ClassMask classes) const;
+    [[nodiscard]] const std::string* uidOf(ServerId server) const;
 
     Logger log_;
     std::vector<std::string> zones_, classes_, kinds_, loadFields_;
