--- /dev/null
+++ b/src/membership/proxy_owners.cpp
@@ -0,0 +1,118 @@
+#include "membership/proxy_owners.h"
+
+#include <algorithm>
+
+namespace marldale::membership {
+namespace {
+
+constexpr LaneId kPlatformLane = 0;
+
+}  // namespace
+
+std::optional<LaneId> ProxyOwners::owner(ProxyId proxy) const {
+    const auto at = proxies_.find(proxy);
+    if (at == proxies_.end()) return std::nullopt;
+    return at->second.owner;
+}
+
+std::vector<OwnerNews> ProxyOwners::hello(LaneId lane, ProxyId id, const Named& named, Micros now) {
+    std::vector<OwnerNews> out;
+    const auto [at, fresh] = proxies_.try_emplace(id);
+    Proxy& proxy = at->second;
+    for (auto& [other, waiting] : proxy.elsewhere) waiting.later = false;
+    if (fresh || proxy.owner == lane) {
+        proxy.owner = lane;
+        proxy.named = named;
+        if (fresh) proxy.since = now;
+        out.emplace_back(NowJoined{id, lane, named});
+        return out;
+    }
+    proxy.elsewhere[lane] = {named, true};
+    if (now - proxy.since >= kMoveLeast) move(id, proxy, lane, now, out);
+    return out;
+}
+
+void ProxyOwners::move(ProxyId id, Proxy& proxy, LaneId to, Micros now, std::vector<OwnerNews>& out) {
+    const LaneId from = proxy.owner;
+    const Named named = proxy.elsewhere.at(to).named;
+    proxy.elsewhere.erase(to);
+    // The platform can't be told, and says who stands only once: should the new lane end, the proxy is still
+    // there. A stream is told, and names the proxy again if it is.
+    if (from == kPlatformLane) {
+        proxy.elsewhere[from] = {proxy.named, false};
+    } else {
+        out.emplace_back(Release{id, from});
+    }
+    proxy.owner = to;
+    proxy.named = named;
+    proxy.since = now;
+    ++moves_;
+    out.emplace_back(NowJoined{id, to, named});
+}
+
+void ProxyOwners::leave(Proxies::iterator at, LaneId lane, Micros now, std::vector<OwnerNews>& out) {
+    Proxy& proxy = at->second;
+    if (proxy.owner != lane) {
+        proxy.elsewhere.erase(lane);
+        return;
+    }
+    if (proxy.elsewhere.empty()) {
+        out.emplace_back(NowLeft{at->first});
+        proxies_.erase(at);
+        return;
+    }
+    const LaneId to = mover(proxy).value_or(proxy.elsewhere.begin()->first);
+    proxy.named = proxy.elsewhere.at(to).named;
+    proxy.elsewhere.erase(to);
+    proxy.owner = to;
+    proxy.since = now;
+    ++moves_;
+    out.emplace_back(NowJoined{at->first, to, proxy.named});
+}
+
+std::vector<OwnerNews> ProxyOwners::bye(LaneId lane, ProxyId proxy, Micros now) {
+    std::vector<OwnerNews> out;
+    if (const auto at = proxies_.find(proxy); at != proxies_.end()) leave(at, lane, now, out);
+    return out;
+}
+
+std::vector<OwnerNews> ProxyOwners::closed(LaneId lane, Micros now) {
+    std::vector<OwnerNews> out;
+    for (auto at = proxies_.begin(); at != proxies_.end();) leave(at++, lane, now, out);
+    return out;
+}
+
+std::vector<OwnerNews> ProxyOwners::answered(LaneId lane, ProxyId proxy, std::uint64_t mark,
+                                             Micros took) const {
+    const auto at = proxies_.find(proxy);
+    if (at == proxies_.end() || at->second.owner != lane) return {};
+    return {NowAnswered{proxy, lane, mark, took}};
+}
+
+std::optional<LaneId> ProxyOwners::mover(const Proxy& proxy) {
+    const auto at = std::find_if(proxy.elsewhere.begin(), proxy.elsewhere.end(),
+                                 [](const auto& e) { return e.second.later; });
+    if (at == proxy.elsewhere.end()) return std::nullopt;
+    return at->first;
+}
+
+std::vector<OwnerNews> ProxyOwners::due(Micros now) {
+    std::vector<OwnerNews> out;
+    for (auto& [id, proxy] : proxies_) {
+        const auto to = mover(proxy);
+        if (to && now - proxy.since >= kMoveLeast) move(id, proxy, *to, now, out);
+    }
+    return out;
+}
+
+std::optional<Micros> ProxyOwners::nextDue() const {
+    std::optional<Micros> out;
+    for (const auto& [id, proxy] : proxies_) {
+        if (!mover(proxy)) continue;
+        const Micros at = proxy.since + kMoveLeast;
+        if (!out || at < *out) out = at;
+    }
+    return out;
+}
+
+}  // namespace marldale::membership
