--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -145,6 +145,19 @@
     return out;
 }
 
+void Dispatcher::startOver() {
+    book_.apply(protocol::ClearOrder{kAllTables});
+    for (const auto& [proxy, lane] : std::exchange(owners_, {})) {
+        book_.forget(proxy);
+        if (const auto at = lanes_.find(lane); at != lanes_.end()) at->second.lane.disown(proxy);
+    }
+}
+
+std::size_t Dispatcher::proxies(LaneId id) const {
+    const auto at = lanes_.find(id);
+    return at == lanes_.end() ? 0 : at->second.lane.proxies().size();
+}
+
 std::vector<std::uint16_t> Dispatcher::marksOf(LaneId id, std::uint16_t mark) const {
     const auto at = lanes_.find(id);
     return at == lanes_.end() ? std::vector<std::uint16_t>{mark} : at->second.lane.marksOf(mark);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -39,13 +39,6 @@
 };
 using Command = std::variant<Welcome, SendBatch, EndLane>;
 
-// What a relay that comes back says of itself.
-struct Returning {
-    std::string node;             // who it is; empty: it can't be remembered
-    std::uint64_t epoch = 0;      // of the planner that it last took a batch from
-    std::uint64_t lastTaken = 0;  // that batch's nonce
-};
-
 class Dispatcher {
 public:
     using Tell = std::function<void(const std::string& text)>;  // a line for the log
@@ -79,6 +72,11 @@
     // What is to be done, in order; each is handed out once.
     [[nodiscard]] std::vector<Command> take() { return std::exchange(commands_, {}); }
 
+    // The module has lost everything and orders anew from the first table on: what it ordered before is void.
+    // Every proxy is on no lane until `own` says so again.
+    void startOver();
+
+    [[nodiscard]] std::size_t proxies(LaneId lane) const;
     [[nodiscard]] const TableBook& book() const { return book_; }
     [[nodiscard]] std::size_t lanes() const { return lanes_.size(); }
     [[nodiscard]] std::size_t remembered() const { return parted_.size(); }
--- a/src/dispatch/lane.h
+++ b/src/dispatch/lane.h
@@ -63,6 +63,13 @@
     std::uint64_t answered = 0, out = 0;  // their nonces; 0: there is none
 };
 
+// What a relay that comes back says of itself.
+struct Returning {
+    std::string node;             // who it is; empty: it can't be remembered
+    std::uint64_t epoch = 0;      // of the planner that it last took a batch from
+    std::uint64_t lastTaken = 0;  // that batch's nonce
+};
+
 class Lane {
 public:
     explicit Lane(LaneRules rules, std::uint64_t nonce) : rules_(rules), nonce_(nonce) {}
--- a/src/routing/clock.h
+++ b/src/routing/clock.h
@@ -25,6 +25,10 @@
         return wallAtStart_ + std::chrono::duration_cast<std::chrono::microseconds>(when - start_).count();
     }
 
+    [[nodiscard]] Steady::time_point when(Micros at) const {
+        return start_ + std::chrono::microseconds(at - wallAtStart_);
+    }
+
 private:
     Micros wallAtStart_;
     Steady::time_point start_;
--- a/src/routing/event_queue.h
+++ b/src/routing/event_queue.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "routing/clock.h"
@@ -23,26 +24,36 @@
         : most_(most), mostForReports_(mostForReports), gather_(gather) {}
 
     // False if there is no room.
-    [[nodiscard]] bool push(Item item, bool isReport) {
+    // `weight`: how much of the room it takes. One item always finds room in an empty queue.
+    [[nodiscard]] bool push(Item item, bool isReport, std::size_t weight = 1) {
         {
             const std::lock_guard lock(mutex_);
-            if (items_.size() >= (isReport ? mostForReports_ : most_)) return false;
+            if (!items_.empty() && weight_ + weight > (isReport ? mostForReports_ : most_)) return false;
             if (items_.empty()) firstAt_ = std::chrono::steady_clock::now();
             items_.push_back(std::move(item));
+            weight_ += weight;
         }
         changed_.notify_one();
         return true;
     }
 
-    // No batch is handed out from here on until `release`: a call is out.
-    void hold() {
+    // No batch is handed out from here on until `release`, or until then: a call is out.
+    void hold(SteadyTime until = SteadyTime::max()) {
         const std::lock_guard lock(mutex_);
-        held_ = true;
+        heldUntil_ = until;
     }
     void release() {
         {
             const std::lock_guard lock(mutex_);
-            held_ = false;
+            heldUntil_.reset();
+        }
+        changed_.notify_one();
+    }
+    // The taker gets a batch of nothing soon, whatever waits and whether it is held or not.
+    void nudge() {
+        {
+            const std::lock_guard lock(mutex_);
+            nudged_ = true;
         }
         changed_.notify_one();
     }
@@ -59,9 +70,11 @@
         std::unique_lock lock(mutex_);
         for (;;) {
             if (closed_) return std::nullopt;
+            if (std::exchange(nudged_, false)) return std::vector<Item>{};
             std::optional<SteadyTime> when = due;
             if (!items_.empty()) when = std::min(firstAt_ + gather_, due.value_or(SteadyTime::max()));
-            if (held_ || !when) {
+            if (when && heldUntil_) when = std::max(*when, *heldUntil_);
+            if (!when || *when == SteadyTime::max()) {
                 changed_.wait(lock);
             } else if (std::chrono::steady_clock::now() >= *when) {
                 break;
@@ -69,6 +82,8 @@
                 changed_.wait_until(lock, *when);
             }
         }
+        heldUntil_.reset();
+        weight_ = 0;
         std::vector<Item> out(std::make_move_iterator(items_.begin()), std::make_move_iterator(items_.end()));
         items_.clear();
         return out;
@@ -81,7 +96,9 @@
     std::condition_variable changed_;
     std::deque<Item> items_;
     SteadyTime firstAt_{};  // when the first of them came
-    bool held_ = false, closed_ = false;
+    std::size_t weight_ = 0;
+    std::optional<SteadyTime> heldUntil_;
+    bool nudged_ = false, closed_ = false;
 };
 
 }  // namespace marldale::routing
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -29,17 +29,12 @@
 }
 
 void Translator::events(const Input& input, std::vector<Event>& out) {
-    struct Visitor {
-        Translator& self;
-        std::vector<Event>& out;
-        void operator()(const ListInput& i) const { self.list(i, out); }
-        void operator()(const protocol::News& n) const { self.proxyNews(n, out); }
-        void operator()(const protocol::Report& r) const { self.report(r, out); }
-        void operator()(const ProbeEnded& p) const {
-            out.emplace_back(ProbeResult{p.server, p.outcome, p.roundTrip, self.loadReport(p.load)});
-        }
-    };
-    std::visit(Visitor{*this, out}, input);
+    if (const auto* l = std::get_if<ListInput>(&input)) list(*l, out);
+    if (const auto* n = std::get_if<protocol::News>(&input)) proxyNews(*n, out);
+    if (const auto* r = std::get_if<protocol::Report>(&input)) (void)report(*r, out);
+    if (const auto* p = std::get_if<ProbeEnded>(&input)) {
+        out.emplace_back(ProbeResult{p->server, p->outcome, p->roundTrip, loadReport(p->load)});
+    }
 }
 
 std::optional<ServerId> Translator::serverOf(const std::string& uid) const {
@@ -141,37 +136,50 @@
     return out;
 }
 
-void Translator::report(const protocol::Report& report, std::vector<Event>& out) {
+bool Translator::report(const protocol::Report& report, std::vector<Event>& out) {
     if (const auto* o = std::get_if<protocol::Outcomes>(&report)) {
         const auto server = serverOf(o->server);
         const auto zone = zoneOf(o->zone);
         if (!server || !zone) {
-            return log_("report",
-                        "outcomes left out: unknown " + (server ? "zone " + o->zone : "server " + o->server));
+            log_("report",
+                 "outcomes left out: unknown " + (server ? "zone " + o->zone : "server " + o->server));
+            return false;
+        }
+        if (o->meanUs > longestTry_) {
+            log_("report", "outcomes left out: no try lasts so long");
+            return false;
         }
-        if (o->meanUs > longestTry_) return log_("report", "outcomes left out: no try lasts so long");
         ServerSums sums{*server, *zone, o->tries, o->failed, o->overUs, o->meanUs, loadReport(o->load)};
         out.emplace_back(std::move(sums));
     } else if (const auto* d = std::get_if<protocol::Demand>(&report)) {
         const auto klass = indexOf(classes_, d->klass);
         if (!klass || d->proxy >= proxies_) {
-            return log_("report", "demand left out: unknown class " + d->klass + " or proxy " +
-                                      std::to_string(d->proxy));
+            log_("report",
+                 "demand left out: unknown class " + d->klass + " or proxy " + std::to_string(d->proxy));
+            return false;
         }
         out.emplace_back(
             ProxyDemand{d->proxy, static_cast<std::uint16_t>(*klass), d->came, d->failed, d->overUs});
     }
+    return true;
+}
+
+std::optional<membership::Named> Translator::named(const protocol::Hello& hello) const {
+    const auto zone = zoneOf(hello.zone);
+    if (!zone || hello.proxy >= proxies_) {
+        log_("news",
+             "proxy " + std::to_string(hello.proxy) + " of zone " + hello.zone + " left out: unknown");
+        return std::nullopt;
+    }
+    return membership::Named{*zone, hello.rate, hello.fresh};
 }
 
 void Translator::proxyNews(const protocol::News& news, std::vector<Event>& out) {
     if (const auto* hello = std::get_if<protocol::Hello>(&news)) {
-        const auto zone = zoneOf(hello->zone);
-        if (!zone || hello->proxy >= proxies_) {
-            return log_("news", "proxy " + std::to_string(hello->proxy) + " of zone " + hello->zone +
-                                    " left out: unknown");
-        }
+        const auto known = named(*hello);
+        if (!known) return;
         joined_.insert(hello->proxy);
-        out.emplace_back(ProxyJoined{hello->proxy, *zone, hello->rate, hello->fresh});
+        out.emplace_back(ProxyJoined{hello->proxy, known->zone, known->rate, known->fresh});
     } else if (const auto* bye = std::get_if<protocol::Bye>(&news)) {
         if (joined_.erase(bye->proxy) > 0) out.emplace_back(ProxyLeft{bye->proxy});
     } else if (const auto* ack = std::get_if<protocol::Ack>(&news)) {
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -7,39 +7,32 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "membership/proxy_owners.h"
 #include "policy/types.h"
-#include "protocol/catalog.h"
 #include "protocol/config.h"
 #include "protocol/order.h"
-#include "protocol/relay.h"
-#include "protocol/reports.h"
 #include "routing/clock.h"
+#include "routing/inputs.h"
 #include "routing/logger.h"
 
 namespace marldale::routing {
 
-struct ListInput {
-    protocol::CatalogNews news;
-    bool cached = false;
-};
-struct ProbeEnded {
-    ServerId server = 0;
-    ProbeOutcome outcome = ProbeOutcome::other;
-    Micros roundTrip = 0;
-    protocol::LoadValues load;
-};
-
-using Input = std::variant<ListInput, protocol::News, protocol::Report, ProbeEnded>;
-
 class Translator {
 public:
     Translator(const protocol::Config& config, Logger log);
 
-    // Appends the module's events for one input: none, one, or several.
+    // Appends the module's events for one input: none, one, or several. What comes from other fronts than the
+    // platform's is the junction's matter, and gives none here.
     void events(const Input& input, std::vector<Event>& out);
+    // For one row of a report; false if it can't be used.
+    bool report(const protocol::Report& report, std::vector<Event>& out);
+
+    // What a hello says, in numbers; nothing, and a line in the log, if its proxy or zone is unknown.
+    [[nodiscard]] std::optional<membership::Named> named(const protocol::Hello& hello) const;
+    [[nodiscard]] std::optional<ServerId> serverOf(const std::string& uid) const;
+    [[nodiscard]] LoadReport loadReport(const protocol::LoadValues& values) const;
 
     // The order by name; nothing if the action is no order, or names what discovery has not listed.
     [[nodiscard]] std::optional<protocol::Order> named(const Action& action) const;
@@ -64,13 +57,10 @@
     };
 
     void list(const ListInput& input, std::vector<Event>& out);
-    void report(const protocol::Report& report, std::vector<Event>& out);
     void proxyNews(const protocol::News& news, std::vector<Event>& out);
     void forgetGone(ServerId server);
     std::optional<ListEntry> listEntry(const protocol::CatalogEntry& entry);
-    [[nodiscard]] std::optional<ServerId> serverOf(const std::string& uid) const;
     [[nodiscard]] std::optional<ZoneId> zoneOf(const std::string& name) const;
-    [[nodiscard]] LoadReport loadReport(const protocol::LoadValues& values) const;
     [[nodiscard]] const std::string* uidOf(ServerId server) const;
 
     Logger log_;
