--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,7 +13,10 @@
 }  // namespace
 
 Dispatcher::Dispatcher(DispatchRules rules, Tell tell)
-    : rules_(std::move(rules)), tell_(std::move(tell)), book_(rules_.classes) {
+    : rules_(std::move(rules)),
+      tell_(std::move(tell)),
+      book_(rules_.classes),
+      messages_(rules_.messagesMost, rules_.messagesOver, rules_.arrivalJitter) {
     lanes_.emplace(kPlatform, Open{Lane(rules_.platform, 0), {}});
 }
 
@@ -94,9 +97,9 @@
 
 void Dispatcher::send(LaneId id, Open& open, Micros now) {
     if (open.ends) return;
-    auto batch = open.lane.next(book_, now);
+    auto batch = open.lane.next(book_, id == kPlatform ? unlimited_ : messages_, now);
     if (!batch) return;
-    linesSaved_ += open.lane.linesSaved();
+    linesSaved_ += open.lane.takeLinesSaved();
     if (id == kPlatform) heldUntil_ = now + rules_.platformHold;
     commands_.emplace_back(SendBatch{id, std::move(*batch)});
 }
@@ -115,7 +118,7 @@
                           Micros now) {
     const auto at = lanes_.find(id);
     if (at == lanes_.end()) return;
-    apply(id, at->second, at->second.lane.answered(nonce, taken, reason, rules_.classes, now));
+    apply(id, at->second, at->second.lane.answered(nonce, taken, reason, rules_.classes));
     send(id, at->second, now);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,8 +15,11 @@
 namespace marldale::dispatch {
 
 struct DispatchRules {
-    std::vector<std::string> classes;   // names, by index
-    LaneRules platform, stream;         // of the platform's lane, of every other
+    std::vector<std::string> classes;  // names, by index
+    LaneRules platform, stream;        // of the platform's lane, of every other
+    std::uint32_t messagesMost = 0;    // to one proxy within messagesOver, on all streams; 0: no such limit
+    Micros messagesOver = 0;
+    Micros arrivalJitter = 150000;      // by which two messages may arrive closer than they left
     Micros platformHold = 500000;       // the module waits for the platform's relay no longer
     Micros remember = 60000000;         // what a lane held, after it has ended
     std::size_t rememberedMost = 4096;  // lanes
@@ -106,6 +109,8 @@
     std::map<ProxyId, LaneId> owners_;
     std::map<std::string, Memory> parted_;  // by node
     std::uint64_t nonces_ = 0;              // given to lanes that have ended: none is used twice
+    MessageLedger messages_;                // to proxies on streams
+    MessageLedger unlimited_{0, 0, 0};      // the platform's calls have a ledger of their own
     std::optional<Micros> heldUntil_;
     std::vector<Command> commands_;
     std::uint64_t linesSaved_ = 0;
--- a/src/dispatch/lane.cpp
+++ b/src/dispatch/lane.cpp
@@ -14,6 +14,14 @@
 constexpr std::size_t kClearsMost = 16;   // tables nobody uses; more of them are worth a batch of their own
 constexpr std::size_t kLikeMost = 8;      // tables that a new one is compared with
 
+// About what an order takes on the wire; its server's name is all that varies much.
+std::size_t bytesOf(const LaneOrder& order) {
+    constexpr std::size_t kRest = 24;
+    if (const auto* line = std::get_if<protocol::LineOrder>(&order)) return kRest + line->server.size();
+    if (const auto* shut = std::get_if<protocol::ShutOrder>(&order)) return kRest + shut->server.size();
+    return 2 * kRest;
+}
+
 }  // namespace
 
 // The orders that bring a lane from what it holds to what the book says.
@@ -25,19 +33,22 @@
         out_.shutsUpTo = lane.shutsUpTo_;
         for (const auto& [proxy, told] : lane.proxies_) {
             const auto& binds = book.binds(proxy);
-            unbound_ = unbound_ || binds.empty();
-            for (const auto& [mask, bound] : binds) needed_.insert(bound.table);
+            if (binds.empty()) unbound_.push_back(proxy);
+            for (const auto& [mask, bound] : binds) needed_[bound.table].push_back(proxy);
         }
     }
 
     // False if there is nothing that concerns a proxy of the lane.
     bool make() {
         std::vector<LaneOrder> shuts = shutOrders();
-        for (const TableId id : needed_) table(id);
+        for (const auto& [id, users] : needed_) {
+            const std::size_t before = orders_.size();
+            table(id);
+            if (orders_.size() > before) concerned_.insert(users.begin(), users.end());
+        }
         binds();
-        const bool concerns = concerns_ || !orders_.empty();
         const std::vector<LaneOrder> clears = clearOrders();
-        if (!concerns && clears.size() <= kClearsMost) return false;
+        if (concerned_.empty() && clears.size() <= kClearsMost) return false;
         orders_.insert(orders_.begin(), shuts.begin(), shuts.end());
         out_.shutsUpTo = book_.version();
         for (const LaneOrder& clear : clears) {
@@ -47,6 +58,7 @@
         return true;
     }
     std::vector<LaneOrder> orders_;
+    std::set<ProxyId> concerned_;
     Out out_;
     std::size_t linesSaved_ = 0;
 
@@ -57,10 +69,11 @@
         for (const auto& [server, shut] : book_.shuts()) {
             if (shut.at <= lane_.shutsUpTo_) continue;
             out.emplace_back(protocol::ShutOrder{server, shut.out});
-            concerns_ = concerns_ || unbound_ || std::any_of(needed_.begin(), needed_.end(), [&](TableId id) {
-                            const Table* t = book_.find(id);
-                            return t != nullptr && mayHold(*t, id, server);
-                        });
+            concerned_.insert(unbound_.begin(), unbound_.end());
+            for (const auto& [id, users] : needed_) {
+                const Table* t = book_.find(id);
+                if (t != nullptr && mayHold(*t, id, server)) concerned_.insert(users.begin(), users.end());
+            }
         }
         return out;
     }
@@ -182,6 +195,7 @@
             for (const auto& [mask, bound] : book_.binds(proxy)) {
                 if (bound.at <= told) continue;
                 orders_.emplace_back(protocol::BindOrder{proxy, bound.table, mask});
+                concerned_.insert(proxy);
                 last = std::max(last, bound.at);
             }
             told = last;
@@ -199,9 +213,8 @@
 
     const Lane& lane_;
     const TableBook& book_;
-    std::set<TableId> needed_;
-    bool unbound_ = false;  // a proxy that still has its standing tables
-    bool concerns_ = false;
+    std::map<TableId, std::vector<ProxyId>> needed_;  // and who uses them
+    std::vector<ProxyId> unbound_;                    // proxies that still have their standing tables
 };
 
 void Lane::begin(Parted::Tables held, Version shutsUpTo) {
@@ -212,7 +225,8 @@
 std::optional<Parted> Lane::part() const {
     if (refused_) return std::nullopt;
     Parted out{held_, {}, answered_, 0};
-    if (out_) {
+    // Only the last part of a batch says that all of it was taken.
+    if (out_ && !out_->waits && out_->end == out_->batch.orders.size()) {
         out.withOut = out_->held;
         out.out = out_->batch.nonce;
     }
@@ -226,45 +240,58 @@
     everyProxy_ = everyProxy_ || mark->everyProxy;
 }
 
-std::optional<Batch> Lane::next(const TableBook& book, Micros now) {
-    if (out_) {
-        if (!out_->waits || now < out_->sentAt) return std::nullopt;
-        sent(now);
-        return Batch{out_->batch.nonce,
-                     {out_->batch.orders.begin() + static_cast<std::ptrdiff_t>(out_->first),
-                      out_->batch.orders.end()}};
+std::optional<Batch> Lane::next(const TableBook& book, MessageLedger& messages, Micros now) {
+    if (out_ ? !out_->waits : !prepare(book)) return std::nullopt;
+    // What is not sent yet is worked out anew when its time has come, from what the book says then.
+    const Micros earliest = messages.earliest(out_->batch.concerned, now);
+    waitUntil_.reset();
+    if (earliest > now) {
+        waitUntil_ = earliest;
+        if (out_->first == 0 && out_->end == 0) out_.reset();
+        return std::nullopt;
+    }
+    if (out_->end == 0) {
+        if (marks_.size() > 1) covered_.push_back(marks_);
+        if (covered_.size() > kCoveredMost) covered_.pop_front();
+        marks_.clear();
+        everyProxy_ = false;
     }
+    messages.sent(out_->batch.concerned, now);
+    return nextPart(now);
+}
+
+// The difference, as the batch that is out but not sent yet; false if it concerns nobody.
+bool Lane::prepare(const TableBook& book) {
     Difference difference(*this, book);
     if (!difference.make() && !everyProxy_) {
         marks_.clear();  // none of those turns was about a proxy of this lane
-        return std::nullopt;
+        waitUntil_.reset();
+        return false;
     }
     linesSaved_ = difference.linesSaved_;
     out_ = std::move(difference.out_);
     out_->batch.orders = std::move(difference.orders_);
-    if (!marks_.empty()) {
-        out_->batch.orders.emplace_back(protocol::MarkOrder{marks_.back(), everyProxy_});
-        if (marks_.size() > 1) covered_.push_back(marks_);
-        if (covered_.size() > kCoveredMost) covered_.pop_front();
+    if (!marks_.empty()) out_->batch.orders.emplace_back(protocol::MarkOrder{marks_.back(), everyProxy_});
+    if (everyProxy_) {
+        for (const auto& [proxy, told] : proxies_) difference.concerned_.insert(proxy);
     }
-    marks_.clear();
-    everyProxy_ = false;
-    out_->batch.nonce = ++nonce_;
-    sent(now);
-    return out_->batch;
+    out_->batch.concerned.assign(difference.concerned_.begin(), difference.concerned_.end());
+    return true;
 }
 
-void Lane::sent(Micros now) {
-    out_->sentAt = now;
+// The next part of what is out, as much as one batch may hold.
+Batch Lane::nextPart(Micros now) {
+    const auto& orders = out_->batch.orders;
+    std::size_t bytes = 0;
+    out_->end = out_->first;
+    while (out_->end < orders.size() && (out_->end == out_->first || bytes < rules_.bytesMost)) {
+        bytes += bytesOf(orders[out_->end++]);
+    }
     out_->waits = false;
-    sentTimes_.push_back(now);
-    while (sentTimes_.size() > std::max(1U, rules_.messagesMost)) sentTimes_.pop_front();
-}
-
-// When what is sent anew can't be a message too many to any proxy, whichever the earlier ones concerned.
-Micros Lane::earliest(Micros now) const {
-    if (rules_.messagesMost == 0 || sentTimes_.size() < rules_.messagesMost) return now;
-    return std::max(now, sentTimes_.front() + rules_.messagesOver);
+    out_->sentAt = now;
+    out_->batch.nonce = ++nonce_;
+    const auto at = [&](std::size_t n) { return orders.begin() + static_cast<std::ptrdiff_t>(n); };
+    return {nonce_, {at(out_->first), at(out_->end)}, out_->batch.concerned};
 }
 
 void Lane::settle() {
@@ -279,9 +306,10 @@
     out_.reset();
 }
 
-void Lane::resend(Micros now) {
+// What is left of the batch, as its next part. Binds of proxies that have left meanwhile would only be
+// refused again.
+void Lane::goOn() {
     auto& orders = out_->batch.orders;
-    // Binds of proxies that have left meanwhile would only be refused again.
     const auto first = orders.begin() + static_cast<std::ptrdiff_t>(out_->first);
     orders.erase(std::remove_if(first, orders.end(),
                                 [&](const LaneOrder& o) {
@@ -290,8 +318,6 @@
                                 }),
                  orders.end());
     if (out_->first >= orders.size()) return settle();
-    out_->batch.nonce = ++nonce_;
-    out_->sentAt = earliest(now);
     out_->waits = true;
 }
 
@@ -310,43 +336,43 @@
 }
 
 Lane::Verdict Lane::answered(std::uint64_t nonce, std::size_t taken, const std::string& reason,
-                             const std::vector<std::string>& classes, Micros now) {
+                             const std::vector<std::string>& classes) {
     Verdict verdict;
     if (!out_ || out_->waits || nonce != out_->batch.nonce) {
         verdict.told.push_back("an answer to a batch that is not out is left out");
         return verdict;
     }
-    const auto& orders = out_->batch.orders;
-    if (taken > orders.size() - out_->first) {
+    if (taken > out_->end - out_->first) {
         verdict.told.push_back("it says that it took more orders than it was sent");
         verdict.ends = verdict.forget = true;
         return verdict;
     }
     out_->first += taken;
-    if (out_->first >= orders.size()) {
-        settle();
-        return verdict;
+    if (out_->first < out_->end) {
+        refused(reason.empty() ? "no reason given" : reason, classes, verdict);
+        if (verdict.ends) return verdict;
     }
+    goOn();
+    return verdict;
+}
+
+// At the first order that is not taken yet.
+void Lane::refused(const std::string& why, const std::vector<std::string>& classes, Verdict& verdict) {
     refused_ = true;
-    const LaneOrder& bad = orders[out_->first];
-    const std::string why = reason.empty() ? "no reason given" : reason;
+    const LaneOrder& bad = out_->batch.orders[out_->first];
+    const std::string text = laneOrderText(bad, classes) + ": " + why;
     if (std::holds_alternative<CheckOrder>(bad) || std::holds_alternative<LayOrder>(bad)) {
-        verdict.told.push_back("its table differs from what it said it held; it starts over: " + why);
+        verdict.told.push_back("it does not hold what it said it held, and starts over: " + text);
         verdict.ends = verdict.forget = true;
     } else if (out_->refusedAt == out_->first) {
-        verdict.told.push_back("an order was refused twice and is dropped: " + laneOrderText(bad, classes) +
-                               ": " + why);
+        verdict.told.push_back("an order was refused twice and is dropped: " + text);
         ++out_->first;
-        dropped_ = true;
         out_->refusedAt = SIZE_MAX;
-        resend(now);
+        dropped_ = true;
     } else {
-        verdict.told.push_back("an order was refused and is sent anew: " + laneOrderText(bad, classes) +
-                               ": " + why);
+        verdict.told.push_back("an order was refused and is sent anew: " + text);
         out_->refusedAt = out_->first;
-        resend(now);
     }
-    return verdict;
 }
 
 Lane::Verdict Lane::due(Micros now) const {
@@ -358,9 +384,9 @@
 }
 
 std::optional<Micros> Lane::nextDue() const {
-    if (!out_) return std::nullopt;
-    if (out_->waits) return out_->sentAt;
-    if (rules_.answerWithin == std::numeric_limits<Micros>::max()) return std::nullopt;
+    if (waitUntil_) return waitUntil_;
+    if (!out_ || out_->waits || rules_.answerWithin == std::numeric_limits<Micros>::max())
+        return std::nullopt;
     return out_->sentAt + rules_.answerWithin;
 }
 
--- a/src/dispatch/lane.h
+++ b/src/dispatch/lane.h
@@ -12,9 +12,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
+#include "dispatch/message_ledger.h"
 #include "dispatch/table_book.h"
 
 namespace marldale::dispatch {
@@ -43,13 +45,13 @@
 struct Batch {
     std::uint64_t nonce = 0;  // grows; its answer names it
     std::vector<LaneOrder> orders;
+    std::vector<ProxyId> concerned;  // of the lane's proxies
 };
 
 struct LaneRules {
     bool maySkipLines = true;                                  // it knows LayOrder and CheckOrder
     Micros answerWithin = std::numeric_limits<Micros>::max();  // of a batch; later its outcome is unknown
-    std::uint32_t messagesMost = 0;  // to one proxy within messagesOver; 0: no such limit
-    Micros messagesOver = 0;
+    std::size_t bytesMost = std::numeric_limits<std::size_t>::max();  // of a batch, about; the rest follows
 };
 
 // What a relay held when its stream ended: enough to go on from there if it comes back and says what it took.
@@ -86,8 +88,9 @@
     // A turn has ended with this mark, or with none. Whoever it concerns answers it once.
     void turned(std::optional<protocol::MarkOrder> mark);
 
-    // What is to be sent now, if anything: the difference, or what is sent anew.
-    [[nodiscard]] std::optional<Batch> next(const TableBook& book, Micros now);
+    // What is to be sent now, if anything: the difference, what is sent anew, or what did not fit. `messages`
+    // tells when, and is told what goes.
+    [[nodiscard]] std::optional<Batch> next(const TableBook& book, MessageLedger& messages, Micros now);
 
     struct Verdict {
         std::vector<std::string> told;  // for the log
@@ -96,7 +99,7 @@
     };
     // `classes`: their names, for the log.
     [[nodiscard]] Verdict answered(std::uint64_t nonce, std::size_t taken, const std::string& reason,
-                                   const std::vector<std::string>& classes, Micros now);
+                                   const std::vector<std::string>& classes);
     // The batch that is out was carried out, by one who drops and sends anew for himself.
     void settled() {
         if (out_) settle();
@@ -108,28 +111,31 @@
     // The marks that an answer to `mark` speaks for, the earliest first.
     [[nodiscard]] std::vector<std::uint16_t> marksOf(std::uint16_t mark) const;
 
-    [[nodiscard]] bool clear() const { return !out_; }
+    // Nothing is out, and nothing waits for its time.
+    [[nodiscard]] bool clear() const { return !out_ && !waitUntil_; }
     [[nodiscard]] const Parted::Tables& held() const { return held_; }
-    // Orders of the last batch that `next` made by itself, and what they would have been without LayOrder.
-    [[nodiscard]] std::size_t linesSaved() const { return linesSaved_; }
+    // Lines that the relay did not have to be sent since this was asked, because it held them elsewhere.
+    [[nodiscard]] std::size_t takeLinesSaved() { return std::exchange(linesSaved_, 0); }
 
 private:
     struct Out {
-        Batch batch;
-        std::size_t first = 0;             // taken so far
+        Batch batch;                       // all of it; the nonce is that of the part that was sent last
+        std::size_t first = 0;             // orders taken so far
+        std::size_t end = 0;               // of the part that was sent last
         std::size_t refusedAt = SIZE_MAX;  // an order that was refused once
         Micros sentAt = 0;
-        bool waits = false;   // it is to be sent anew, at `sentAt`
+        bool waits = true;    // there is a part to be sent
         Parted::Tables held;  // once it is taken
         std::map<ProxyId, Version> told;
         Version shutsUpTo = 0;
     };
     class Difference;
 
+    [[nodiscard]] bool prepare(const TableBook& book);
+    [[nodiscard]] Batch nextPart(Micros now);
     void settle();
-    void resend(Micros now);
-    [[nodiscard]] Micros earliest(Micros now) const;
-    void sent(Micros now);
+    void goOn();
+    void refused(const std::string& why, const std::vector<std::string>& classes, Verdict& verdict);
 
     LaneRules rules_;
     std::uint64_t nonce_;  // of the last batch
@@ -143,7 +149,7 @@
     std::vector<std::uint16_t> marks_;  // of turns since the last batch
     bool everyProxy_ = false;
     std::deque<std::vector<std::uint16_t>> covered_;  // marks that went as one, the last one speaking for all
-    std::deque<Micros> sentTimes_;
+    std::optional<Micros> waitUntil_;                 // a proxy would get a message too many before
     std::size_t linesSaved_ = 0;
 };
 
--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -1,8 +1,11 @@
 #include "program/daemon.h"
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 
+#include "program/load_front.h"
+
 namespace marldale::program {
 namespace {
 
@@ -10,6 +13,16 @@
 // A configuration that is being replaced may be missing or half-written for a moment.
 constexpr transport::Millis kReadAgain{100};
 constexpr int kReadsMost = 50;
+// SIGKILL follows SIGTERM no sooner than 0.7 s later; within this the peers of other fronts are told.
+constexpr std::int64_t kFrontEndsWithinMs = 300;
+
+// Another one with each start, whatever the clock says.
+std::uint64_t newEpoch(std::uint64_t seed) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return (seed ^
+            static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count())) |
+           1U;
+}
 
 transport::Address addressOf(const std::string& text, const char* what) {
     const auto address = transport::parseAddress(text);
@@ -33,6 +46,7 @@
 Daemon::Daemon(protocol::Config config, OwnSettings own, Sources sources, Log& log)
     : config_(std::move(config)),
       own_(std::move(own)),
+      epoch_(newEpoch(config_.settings.seed)),
       sources_(std::move(sources)),
       log_(log),
       logger_([&log](const char* topic, const std::string& text) { log.line(topic, text); }),
@@ -60,6 +74,7 @@
     enter(Phase::serving);
     serve();
     loop_.run();
+    if (front_) front_->stop(kFrontEndsWithinMs);
     planner_.reset();  // before the parties that it calls
     enter(Phase::ended);
     log_.flush();
@@ -73,16 +88,19 @@
 // What the module's thread asks for is done in the loop's thread.
 routing::PlannerThread::Outlets Daemon::outlets() {
     routing::PlannerThread::Outlets out;
-    out.call = [this](std::vector<std::string> orders, double linesAtMost) {
-        loop_.post([this, orders = std::move(orders), linesAtMost]() mutable {
-            calls_->call(std::move(orders), linesAtMost);
-        });
+    out.call = [this](routing::OrderCall call) {
+        loop_.post([this, call = std::move(call)]() mutable { calls_->call(std::move(call)); });
     };
     out.probe = [this](ServerId server, std::string endpoint) {
         loop_.post([this, server, endpoint = std::move(endpoint)] { prober_->probe(server, endpoint); });
     };
     out.fetchList = [this] { loop_.post([this] { catalog_->fetchList(); }); };
     out.startedOver = [this] { loop_.post([this] { news_->tellAgain(); }); };
+    out.front = [this](std::vector<routing::FrontCommand> commands) {
+        loop_.post([this, commands = std::move(commands)]() mutable {
+            if (front_) front_->carryOut(std::move(commands));
+        });
+    };
     return out;
 }
 
@@ -91,7 +109,9 @@
 }
 
 void Daemon::stand() {
-    planner_.emplace(config_, outlets(), logger_);
+    std::optional<routing::JunctionRules> junction;
+    if (own_.grpc.on) junction = routing::junctionRules(config_, epoch_);
+    planner_.emplace(config_, outlets(), logger_, std::move(junction));
     const transport::Address relay = addressOf(config_.relay, "relay.address");
     const std::uint64_t seed = config_.settings.seed;
     calls_.emplace(
@@ -111,6 +131,23 @@
             : std::clamp<std::size_t>(config_.sockets / 4, 1, routing::limits::kStrangersMost);
     intake_.emplace(loop_, addressOf(config_.listen, "listen"), config_.zones, strangers, toModule(),
                     logger_);
+    if (own_.grpc.on) openFront();
+}
+
+void Daemon::openFront() {
+    routing::FrontHost host;
+    host.post = toModule();
+    host.log = logger_;
+    host.zones = config_.zones;
+    host.classes = config_.classes;
+    host.loadFields = config_.settings.loadFields;
+    host.proxies = config_.settings.proxies;
+    host.epoch = epoch_;
+    host.pace.least = config_.settings.reportEvery;
+    host.pace.rowsPerS = config_.settings.reportsPerS;
+    const std::string module =
+        own_.grpc.module.empty() ? frontModuleBeside("marldale_grpc.so") : own_.grpc.module;
+    front_ = loadFront(module, own_.grpc.front, std::move(host));
 }
 
 // SIGHUP: both files are read before anything is taken from either. The addresses of relay and discovery are
@@ -120,6 +157,8 @@
     try {
         const protocol::Config config = sources_.config();
         OwnSettings own = sources_.settings();
+        (void)addressOf(config.relay, "relay.address");
+        (void)addressOf(config.discovery, "discovery");
         take(std::move(own));
         moveTo(config);
     } catch (const std::exception& e) {
@@ -147,6 +186,12 @@
 }
 
 void Daemon::take(OwnSettings own) {
+    // Keys are read again also where the file names the same ones: they may have been replaced. It throws if
+    // they can't be used, and nothing else has been taken by then.
+    if (front_) {
+        front_->renew(own.grpc.front);
+        log_.line("reload", "gRPC keys and identities are read again");
+    }
     for (const std::string& name : changedForNextStart(own_, own)) {
         log_.line("reload", name + " has changed; it holds from the next start on");
     }
--- a/src/program/daemon.h
+++ b/src/program/daemon.h
@@ -49,6 +49,7 @@
     void enter(Phase phase);
     void stand();
     void serve();
+    void openFront();
     void stop(const char* signal);
     void reload();
     void moveTo(const protocol::Config& config);
@@ -58,6 +59,7 @@
 
     protocol::Config config_;  // after the start only the addresses of relay and discovery change
     OwnSettings own_;
+    const std::uint64_t epoch_;  // told to relays that hold streams of ours
     const Sources sources_;
     Log& log_;
     const routing::Logger logger_;
@@ -72,6 +74,7 @@
     std::optional<routing::Prober> prober_;
     std::optional<routing::Intake> intake_;
     std::optional<routing::PlannerThread> planner_;
+    std::unique_ptr<routing::Front> front_;  // gRPC, if it is switched on
 };
 
 }  // namespace marldale::program
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -33,11 +33,99 @@
         .to([&log](const std::string&, const Value& v) { log.within = std::chrono::seconds(v.whole()); });
 }
 
+void addGrpc(Schema& schema, GrpcSettings& grpc) {
+    schema.key("grpc", "listen", Type::address)
+        .means("where load reports and assignments are spoken; this switches the gRPC front on")
+        .to([&grpc](const std::string&, const Value& v) {
+            grpc.on = true;
+            grpc.front.listen = v.text;
+        });
+    schema.key("grpc", "module", Type::file)
+        .otherwise("marldale_grpc.so beside the program")
+        .means("the module that holds the front")
+        .to([&grpc](const std::string&, const Value& v) { grpc.module = v.text; });
+    const auto file = [&](const char* name, std::string routing::FrontSettings::*into, const char* means) {
+        schema.key("grpc", name, Type::file)
+            .takenLive()
+            .means(means)
+            .to([&grpc, into](const std::string&, const Value& v) { grpc.front.*into = v.text; });
+    };
+    file("certificate", &routing::FrontSettings::certificate, "the planner's certificate and its chain, PEM");
+    file("key", &routing::FrontSettings::key, "the planner's private key, PEM, without a password");
+    file("clients_ca", &routing::FrontSettings::clientsCa,
+         "who must have signed a client's certificate, PEM");
+    schema.key("grpc", "plain_text", Type::choice)
+        .oneOf({"loopback", "anywhere"})
+        .otherwise("loopback")
+        .means("where the front may speak without certificates")
+        .to([&grpc](const std::string&, const Value& v) { grpc.plainAnywhere = v.text == "anywhere"; });
+    schema.key("grpc", "streams_most", Type::whole)
+        .range("streams", 1, 20000)
+        .otherwise("1200")
+        .means("streams that may be open at once; each may need a descriptor")
+        .to([&grpc](const std::string&, const Value& v) {
+            grpc.front.streamsMost = static_cast<std::size_t>(v.whole());
+        });
+    schema.key("grpc", "keepalive_ms", Type::whole)
+        .range("ms", 500, 60000)
+        .otherwise("1000")
+        .means("between two pings; a peer that leaves one unanswered for as long is gone")
+        .to([&grpc](const std::string&, const Value& v) { grpc.front.keepaliveMs = v.whole(); });
+    schema.key("grpc", "memory_mib", Type::whole)
+        .range("MiB", 8, 4096)
+        .otherwise("64")
+        .means("what the library may buffer for all streams together; beyond it nothing is read")
+        .to([&grpc](const std::string&, const Value& v) {
+            grpc.front.memoryMost = static_cast<std::size_t>(v.whole()) << 20U;
+        });
+}
+
+void addIdentities(Schema& schema, membership::Passports& passports) {
+    schema.key("identity *", "zones", Type::list)
+        .takenLive()
+        .means("zones that this identity may report for and hold relays of; `*`: all")
+        .to([&passports](const std::string& name, const Value& v) { passports.all()[name].zones = v.items; });
+    schema.key("identity *", "boxes", Type::list)
+        .takenLive()
+        .means("servers that it may report as, by uid; a trailing `*` stands for any end")
+        .to([&passports](const std::string& name, const Value& v) { passports.all()[name].boxes = v.items; });
+    schema.key("identity *", "relays", Type::list)
+        .takenLive()
+        .means("relays that it may hold, by number: `7`, `0-49`")
+        .to([&passports](const std::string& name, const Value& v) {
+            for (const std::string& item : v.items) {
+                const auto range = membership::parseRelays(item);
+                if (!range) throw settings::Refused(item + " is no range of relays, as 7 or 0-49");
+                passports.all()[name].relays.push_back(*range);
+            }
+        });
+}
+
+// What no key can tell alone.
+std::vector<std::string> disagreements(const OwnSettings& own) {
+    std::vector<std::string> out;
+    const routing::FrontSettings& front = own.grpc.front;
+    const int files = !front.certificate.empty() + !front.key.empty() + !front.clientsCa.empty();
+    if (files != 0 && files != 3) {
+        out.emplace_back("[grpc] certificate, key and clients_ca go together: all three, or none");
+    }
+    if (own.grpc.on && files == 0 && !own.grpc.plainAnywhere && !front.listen.starts_with("127.")) {
+        out.push_back("[grpc] listen = " + front.listen +
+                      " is not loopback: name certificate, key and clients_ca, or say plain_text = anywhere");
+    }
+    if (files == 3 && front.passports.empty()) {
+        out.emplace_back("[grpc] has certificates, and there is no [identity NAME]: nobody could speak");
+    }
+    return out;
+}
+
 }  // namespace
 
 Schema schemaOf(OwnSettings& into) {
     Schema out;
     addLog(out, into.log);
+    addGrpc(out, into.grpc);
+    addIdentities(out, into.grpc.front.passports);
     return out;
 }
 
@@ -51,6 +139,7 @@
     for (const settings::Entry& entry : entries) {
         if (!entry.key.empty()) out.said["[" + entry.section + "] " + entry.key] = entry.value;
     }
+    for (std::string& text : disagreements(out)) problems.push_back({path, 0, std::move(text)});
     std::stable_sort(problems.begin() + before, problems.end(),
                      [](const auto& a, const auto& b) { return a.line < b.line; });
     return out;
--- a/src/program/settings.h
+++ b/src/program/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "routing/front.h"
 #include "settings/schema.h"
 
 namespace marldale::program {
@@ -20,8 +21,16 @@
     bool operator==(const LogSettings&) const = default;
 };
 
+struct GrpcSettings {
+    bool on = false;
+    std::string module;          // empty: beside the program
+    bool plainAnywhere = false;  // plain text on other addresses than loopback too
+    routing::FrontSettings front;
+};
+
 struct OwnSettings {
     LogSettings log;
+    GrpcSettings grpc;
     std::map<std::string, std::string> said;  // what the file says, by `[section] key`
 };
 
--- a/src/protocol/reports.cpp
+++ b/src/protocol/reports.cpp
@@ -8,10 +8,7 @@
 namespace marldale::protocol {
 namespace {
 
-constexpr std::uint32_t kCountMost = 10000000;  // of one sum; no planner's proxies have so many in its span
-constexpr double kSpanMostMs = 60000;           // no sum covers more, and no try lasts so long
-constexpr std::size_t kLoadValuesMost = 16;
-constexpr double kLoadMost = 1e12;
+constexpr double kSpanMostMs = kSpanMostUs / 1000.0;
 
 LoadValues loadIn(const Json& object) {
     LoadValues out;
@@ -27,11 +24,7 @@
 std::optional<std::uint32_t> countIn(const Json& object, const char* key) {
     return wholeIn<std::uint32_t>(object, key, kCountMost);
 }
-// What a sum covers: a span of nothing would make a rate without end of it.
-std::optional<std::int64_t> spanIn(const Json& object) {
-    const auto over = millisIn(object, "over", kSpanMostMs);
-    return over && *over > 0 ? over : std::nullopt;
-}
+std::optional<std::int64_t> spanIn(const Json& object) { return millisIn(object, "over", kSpanMostMs); }
 
 std::optional<Report> outcomes(const Json& object) {
     const auto zone = textIn(object, "site");
@@ -39,11 +32,14 @@
     const auto tries = countIn(object, "count");
     const auto failed = countIn(object, "fail");
     const auto over = spanIn(object);
-    if (!zone || !server || !tries || !failed || !over || *failed > *tries) return std::nullopt;
+    if (!zone || !server || !tries || !failed || !over) return std::nullopt;
     // Where all tries failed there is no mean.
     const auto mean = millisIn(object, "mean", kSpanMostMs);
     if (!mean && *failed < *tries) return std::nullopt;
-    return Outcomes{*zone, *server, *tries, *failed, mean.value_or(0), *over, loadIn(object)};
+    Outcomes out{*zone, *server, *tries, *failed, mean.value_or(0), *over, {}};
+    if (!isSound(out)) return std::nullopt;
+    out.load = loadIn(object);
+    return out;
 }
 
 std::optional<Report> demand(const Json& object) {
@@ -53,11 +49,22 @@
     const auto failed = countIn(object, "fail");
     const auto over = spanIn(object);
     if (!proxy || !klass || !came || !failed || !over) return std::nullopt;
-    return Demand{*proxy, *klass, *came, *failed, *over};
+    const Demand out{*proxy, *klass, *came, *failed, *over};
+    if (!isSound(out)) return std::nullopt;
+    return out;
 }
 
 }  // namespace
 
+bool isSound(const Outcomes& row) {
+    return row.tries <= kCountMost && row.failed <= row.tries && row.overUs > 0 &&
+           row.overUs <= kSpanMostUs && row.meanUs >= 0 && row.meanUs <= kSpanMostUs;
+}
+
+bool isSound(const Demand& row) {
+    return row.came <= kCountMost && row.failed <= kCountMost && row.overUs > 0 && row.overUs <= kSpanMostUs;
+}
+
 std::optional<Report> parseReport(std::string_view text) { return readReport(parseJson(text)); }
 
 std::optional<Report> readReport(const Json& object) {
--- a/src/protocol/reports.h
+++ b/src/protocol/reports.h
@@ -34,6 +34,18 @@
     std::string type;
 };
 
+// Ranges that hold on every front.
+inline constexpr std::uint32_t kCountMost =
+    10000000;  // of one sum; no planner's proxies have so many in its span
+inline constexpr std::int64_t kSpanMostUs = 60000000;  // no sum covers more, and no try lasts so long
+inline constexpr std::size_t kLoadValuesMost = 16;
+inline constexpr double kLoadMost = 1e12;
+
+// Whether a row can be true: counts and spans in range, no more failures than tries, a span that is not
+// nothing (it would make a rate without end), a mean that is not negative.
+[[nodiscard]] bool isSound(const Outcomes& row);
+[[nodiscard]] bool isSound(const Demand& row);
+
 using Report = std::variant<CollectorHello, Outcomes, Demand, AliveProbe, UnknownReport>;
 
 // Nothing if the text is not one JSON object, or a field that it needs is absent or out of range.
--- a/src/routing/junction.cpp
+++ b/src/routing/junction.cpp
@@ -9,6 +9,7 @@
 constexpr Micros kSweepEvery = 30000000;
 constexpr Micros kAnswerWithin = 1500000;  // docs/notes/grpc.md
 constexpr Micros kPlatformHold = 500000;
+constexpr std::size_t kBatchBytes = 512U << 10U;  // half of what a message may have
 
 // The list first, for reports name its servers; then proxies, each with its own news in order; sums by zone
 // and server, demand by proxy and class; last what the planner itself asked for.
@@ -33,10 +34,9 @@
     out.dispatch.classes = config.classes;
     out.dispatch.platformHold = kPlatformHold;
     out.dispatch.epoch = epoch;
-    for (dispatch::LaneRules* lane : {&out.dispatch.platform, &out.dispatch.stream}) {
-        lane->messagesMost = settings.messagesMost;
-        lane->messagesOver = settings.messagesOver;
-    }
+    out.dispatch.messagesMost = settings.messagesMost;
+    out.dispatch.messagesOver = settings.messagesOver;
+    out.dispatch.stream.bytesMost = kBatchBytes;
     out.dispatch.platform.maySkipLines = false;  // and its calls find out by themselves what was not taken
     out.dispatch.stream.answerWithin = kAnswerWithin;
     return out;
@@ -215,14 +215,13 @@
     const auto platform = static_cast<double>(dispatcher_.proxies(dispatch::kPlatform));
     std::size_t tables = 0;
     for (const auto& [id, table] : dispatcher_.book().tables()) tables = std::max(tables, table.size());
-    double lines = platform * (envelopeLines_ + 1);
-    std::vector<std::string> orders;
+    OrderCall call{{}, platform * (envelopeLines_ + 1), batch.concerned};
     for (const dispatch::LaneOrder& order : batch.orders) {
-        orders.push_back(dispatch::laneOrderText(order, classes_));
+        call.orders.push_back(dispatch::laneOrderText(order, classes_));
         const bool binds = std::holds_alternative<protocol::BindOrder>(order);
-        lines += binds ? static_cast<double>(tables + 1) : platform;
+        call.linesAtMost += binds ? static_cast<double>(tables + 1) : platform;
     }
-    outlets_.call(std::move(orders), lines, holdFor);
+    outlets_.call(std::move(call), holdFor);
 }
 
 }  // namespace marldale::routing
--- a/src/routing/junction.h
+++ b/src/routing/junction.h
@@ -15,6 +15,7 @@
 #include "membership/source_arbiter.h"
 #include "routing/inputs.h"
 #include "routing/logger.h"
+#include "routing/send_guard.h"
 #include "routing/translator.h"
 
 namespace marldale::routing {
@@ -38,7 +39,7 @@
 public:
     struct Outlets {
         // To the platform's relay. The module goes on when it is settled, or after `holdFor` at the latest.
-        std::function<void(std::vector<std::string> orders, double linesAtMost, Micros holdFor)> call;
+        std::function<void(OrderCall, Micros holdFor)> call;
         std::function<void(std::vector<FrontCommand> commands)> front;
     };
 
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -16,6 +16,8 @@
 // Calls. PROTOCOL: an answer arrives within 50 ms, or never; the rest is for a core that others use too.
 inline constexpr Millis kAnswer{250};
 inline constexpr Millis kBusyAgain{50};
+// Two calls that leave some time apart may arrive that much closer: the core is shared.
+inline constexpr std::chrono::microseconds kArrivalJitter{150000};
 inline constexpr double kSpareBacklog =
     0.2;  // of the settings' backlog: the module leaves so much in any case
 inline constexpr std::size_t kAnswerLineMost = 256;
--- a/src/routing/planner_core.cpp
+++ b/src/routing/planner_core.cpp
@@ -67,6 +67,10 @@
         events.insert(events.begin(), first.begin(), first.end());
     }
     if (beliefs_) beliefs_->told(now, events);
+    for (const Event& event : events) {
+        if (const auto* joined = std::get_if<ProxyJoined>(&event)) audience_.joined(joined->proxy);
+        if (const auto* left = std::get_if<ProxyLeft>(&event)) audience_.left(left->proxy);
+    }
     try {
         carryOut(now, module_(now, events));
     } catch (const std::exception& e) {
@@ -89,7 +93,7 @@
         beliefs_->ordered(actions);
         if (const auto line = beliefs_->line(now)) log_("beliefs", *line);
     }
-    std::vector<std::string> orders;
+    std::vector<protocol::Order> orders;
     for (const Action& action : actions) {
         if (const auto* timer = std::get_if<ArmTimer>(&action)) {
             timers_.push({now + timer->delay, timer->tag});
@@ -100,11 +104,14 @@
         } else if (const auto* line = std::get_if<Log>(&action)) {
             log_("module", line->text);
         } else if (!junction_) {
-            if (auto order = translator_.order(action)) orders.push_back(std::move(*order));
+            if (auto order = translator_.named(action)) orders.push_back(std::move(*order));
         }
     }
     if (junction_) return junction_->turned(actions, now);
-    if (!orders.empty()) outlets_.call(std::move(orders), translator_.linesAtMost(actions), kForGood);
+    if (orders.empty()) return;
+    OrderCall call{{}, translator_.linesAtMost(actions), audience_.of(orders)};
+    for (const protocol::Order& order : orders) call.orders.push_back(translator_.text(order));
+    outlets_.call(std::move(call), kForGood);
 }
 
 }  // namespace marldale::routing
--- a/src/routing/planner_core.h
+++ b/src/routing/planner_core.h
@@ -9,11 +9,13 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/audience.h"
 #include "policy/policy.h"
 #include "routing/beliefs.h"
 #include "routing/clock.h"
 #include "routing/inputs.h"
 #include "routing/junction.h"
+#include "routing/send_guard.h"
 #include "routing/translator.h"
 
 namespace marldale::routing {
@@ -23,7 +25,7 @@
     // What the module asks for.
     struct Outlets {
         // `holdFor`: no turn until the call has ended, or so much time has passed.
-        std::function<void(std::vector<std::string> orders, double linesAtMost, Micros holdFor)> call;
+        std::function<void(OrderCall, Micros holdFor)> call;
         std::function<void(ServerId, std::string endpoint)> probe;
         std::function<void()> fetchList;
         std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
@@ -67,7 +69,8 @@
     Module module_;
     const std::unique_ptr<Beliefs> beliefs_;  // what the module holds, for the log; only if it is asked for
     std::unique_ptr<Junction> junction_;
-    bool startsOver_ = false;  // the module is new and has to be told the list
+    dispatch::Audience audience_;  // of calls, where there is no junction
+    bool startsOver_ = false;      // the module is new and has to be told the list
     std::priority_queue<Due, std::vector<Due>, std::greater<>> timers_;
 };
 
--- a/src/routing/planner_thread.cpp
+++ b/src/routing/planner_thread.cpp
@@ -28,11 +28,11 @@
 
 PlannerCore::Outlets PlannerThread::coreOutlets() {
     PlannerCore::Outlets out;
-    out.call = [this](std::vector<std::string> orders, double linesAtMost, Micros holdFor) {
+    out.call = [this](OrderCall call, Micros holdFor) {
         queue_.hold(holdFor == PlannerCore::kForGood
                         ? SteadyTime::max()
                         : SteadyTime::clock::now() + std::chrono::microseconds(holdFor));
-        outlets_.call(std::move(orders), linesAtMost);
+        outlets_.call(std::move(call));
     };
     out.probe = outlets_.probe;
     out.fetchList = outlets_.fetchList;
--- a/src/routing/planner_thread.h
+++ b/src/routing/planner_thread.h
@@ -16,7 +16,7 @@
 public:
     // Called in the module's thread; what they start belongs to the sockets' thread.
     struct Outlets {
-        std::function<void(std::vector<std::string> orders, double linesAtMost)> call;
+        std::function<void(OrderCall)> call;
         std::function<void(ServerId, std::string endpoint)> probe;
         std::function<void()> fetchList;
         std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
--- a/src/routing/relay_calls.cpp
+++ b/src/routing/relay_calls.cpp
@@ -25,9 +25,9 @@
     return out;
 }
 
-void RelayCalls::call(std::vector<std::string> orders, double linesAtMost) {
-    pending_.emplace(std::move(orders));
-    linesAtMost_ = linesAtMost;
+void RelayCalls::call(OrderCall call) {
+    call_ = std::move(call);
+    pending_.emplace(std::move(call_.orders));
     send();
 }
 
@@ -63,10 +63,10 @@
 void RelayCalls::send() {
     if (!pending_ || !ready_ || asked_) return;
     const SteadyTime now = SteadyTime::clock::now();
-    const auto wait = unknown_ ? guard_.wait(now) : std::chrono::microseconds{0};
+    const auto wait = guard_.wait(now, call_, unknown_);
     if (wait.count() > 0) return again_.after(std::chrono::ceil<transport::Millis>(wait));
     unknown_ = false;
-    guard_.sent(now, linesAtMost_);
+    guard_.sent(now, call_);
     asked_ = true;
     answer_.after(limits::kAnswer);
     if (!link_.say(pending_->line())) lost("its buffer is full");
--- a/src/routing/relay_calls.h
+++ b/src/routing/relay_calls.h
@@ -10,7 +10,7 @@
 #include "routing/line_link.h"
 #include "routing/logger.h"
 #include "routing/pending_call.h"
-#include "routing/resend_guard.h"
+#include "routing/send_guard.h"
 
 namespace marldale::routing {
 
@@ -22,7 +22,7 @@
     RelayCalls& operator=(const RelayCalls&) = delete;
 
     // Only when no call is out. `done` follows when all its orders are settled.
-    void call(std::vector<std::string> orders, double linesAtMost);
+    void call(OrderCall call);
 
     // From here on the relay is there. A call that is out is settled where it went, or sent again there.
     void moveTo(const transport::Address& relay);
@@ -45,9 +45,9 @@
     bool asked_ = false;  // a line is out on it
     bool moved_ = false;  // and it leads to an address that is no longer ours
     std::optional<PendingCall> pending_;
-    double linesAtMost_ = 0;  // that it puts into the channel
-    bool unknown_ = false;    // whether its last copy was carried out: it has no answer
-    ResendGuard guard_;
+    OrderCall call_;        // its audience, and what it puts into the channel
+    bool unknown_ = false;  // whether its last copy was carried out: it has no answer
+    SendGuard guard_;
 };
 
 }  // namespace marldale::routing
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -218,10 +218,8 @@
     return std::visit(OrderWriter{*this}, action);
 }
 
-std::optional<std::string> Translator::order(const Action& action) const {
-    const auto out = named(action);
-    if (!out) return std::nullopt;
-    return protocol::orderText(*out, classes_);
+std::string Translator::text(const protocol::Order& order) const {
+    return protocol::orderText(order, classes_);
 }
 
 double Translator::linesAtMost(const std::vector<Action>& actions) const {
--- a/src/routing/translator.h
+++ b/src/routing/translator.h
@@ -36,7 +36,7 @@
 
     // The order by name; nothing if the action is no order, or names what discovery has not listed.
     [[nodiscard]] std::optional<protocol::Order> named(const Action& action) const;
-    [[nodiscard]] std::optional<std::string> order(const Action& action) const;  // as the platform's text
+    [[nodiscard]] std::string text(const protocol::Order& order) const;  // as the platform writes it
 
     // What these actions put into the channel at most: as if every order concerned every joined proxy.
     [[nodiscard]] double linesAtMost(const std::vector<Action>& actions) const;
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -196,12 +196,13 @@
             continue;
         }
         Value value;
-        const std::string wrong = readValue(*key, entry.value, value);
-        if (wrong.empty()) {
-            key->set(name, value);
-        } else {
-            problems.push_back({file, entry.line, wrong});
+        std::string wrong = readValue(*key, entry.value, value);
+        try {
+            if (wrong.empty()) key->set(name, value);
+        } catch (const Refused& e) {
+            wrong = key->name + ": " + e.what();
         }
+        if (!wrong.empty()) problems.push_back({file, entry.line, wrong});
     }
 }
 
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,11 @@
 
 namespace marldale::settings {
 
+// Thrown by a key's `set`: the value is of the right type, and wrong all the same.
+struct Refused : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
 enum class Type { flag, whole, number, text, choice, address, file, list };
 
 struct Value {
--- a/tests/dispatch/dispatch_test.cpp
+++ b/tests/dispatch/dispatch_test.cpp
@@ -28,10 +28,9 @@
     out.classes = {"image", "reserve"};
     out.platform.maySkipLines = false;
     out.stream.answerWithin = 1500 * kMs;
-    out.stream.messagesMost = 12;
-    out.stream.messagesOver = 10 * kSecond;
-    out.platform.messagesMost = 12;
-    out.platform.messagesOver = 10 * kSecond;
+    out.messagesMost = 12;
+    out.messagesOver = 10 * kSecond;
+    out.arrivalJitter = 0;
     out.epoch = 77;
     return out;
 }
@@ -159,6 +158,65 @@
     EXPECT_EQ(only(1).orders.size(), 2U);
 }
 
+TEST_F(DispatchTest, WhatWasSentAnewCountsForWhatFollows) {
+    dispatcher.open(1, {"a"}, now);
+    dispatcher.own(10, 1);
+    layTwo(5, 10);
+    for (int i = 0; i < 11; ++i) {  // eleven turns, each refused once: by the sixth the limit is reached
+        const auto sent = batches(1);
+        if (sent.empty()) break;
+        dispatcher.answered(1, sent[0].nonce, 0, "not now", now);
+        answer(1, only(1));
+        now += 100 * kMs;
+        dispatcher.turn({LineOrder{5, "s-1", 2.0F + static_cast<float>(i)}, MarkOrder{++mark, false}}, now);
+    }
+    EXPECT_EQ(mark, 7) << "twelve messages for six turns; the seventh waits";
+    dispatcher.turn({LineOrder{5, "s-1", 99}, MarkOrder{++mark, false}}, now);
+    EXPECT_TRUE(batches(1).empty());
+    ASSERT_TRUE(dispatcher.nextDue());
+    dispatcher.due(110 * kSecond - 1);
+    EXPECT_TRUE(batches(1).empty());
+    dispatcher.due(110 * kSecond);
+    const std::vector<LaneOrder> expected = {LineOrder{5, "s-1", 99}, MarkOrder{8, false}};
+    EXPECT_EQ(only(1).orders, expected) << "both turns as one";
+    EXPECT_EQ(dispatcher.marksOf(1, 8), (std::vector<std::uint16_t>{7, 8}));
+}
+
+TEST_F(DispatchTest, ABatchThatIsTooLargeGoesInPartsAndIsRememberedOnlyWhole) {
+    DispatchRules small = rules();
+    small.stream.bytesMost = 300;
+    Dispatcher d(small, [](const std::string&) {});
+    d.open(1, {"a"}, now);
+    d.own(10, 1);
+    std::vector<Order> lay;
+    for (int i = 0; i < 40; ++i) lay.emplace_back(LineOrder{5, "s-" + std::to_string(i), 1});
+    lay.emplace_back(BindOrder{10, 5, 0});
+    lay.emplace_back(MarkOrder{1, false});
+    d.turn(lay, now);
+    ModelRelay relay;
+    std::size_t parts = 0;
+    std::uint64_t firstNonce = 0;
+    for (bool more = true; more;) {
+        more = false;
+        for (const Command& c : d.take()) {
+            const auto* send = std::get_if<SendBatch>(&c);
+            if (send == nullptr) continue;
+            ++parts;
+            more = true;
+            EXPECT_LE(send->batch.orders.size(), 12U);
+            if (firstNonce == 0) firstNonce = send->batch.nonce;
+            d.answered(1, send->batch.nonce, relay.apply(send->batch), "", now);
+        }
+    }
+    EXPECT_GE(parts, 4U);
+    EXPECT_FALSE(relay.boundToNothing);
+    EXPECT_EQ(relay.used(10, 0), saidOf(*d.book().find(5)));
+    d.close(1, now);
+    d.open(2, {"a", 77, firstNonce}, now);
+    EXPECT_FALSE(std::get<Welcome>(d.take().at(0)).kept) << "a part is not the whole";
+    d.close(2, now);
+}
+
 TEST_F(DispatchTest, ABatchWithoutAnAnswerEndsTheLaneAndNoOther) {
     dispatcher.open(1, {"mute"}, now);
     dispatcher.open(2, {"well"}, now);
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -13,7 +13,7 @@
 #include "routing/pending_call.h"
 #include "routing/planner_thread.h"
 #include "routing/prober.h"
-#include "routing/resend_guard.h"
+#include "routing/send_guard.h"
 #include "routing/translator.h"
 #include "support/sockets.h"
 
@@ -28,6 +28,11 @@
 
 class TranslatorTest : public testing::Test {
 protected:
+    [[nodiscard]] std::optional<std::string> order(const Action& action) const {
+        const auto named = translator.named(action);
+        if (!named) return std::nullopt;
+        return translator.text(*named);
+    }
     std::vector<Event> events(const Input& input) {
         std::vector<Event> out;
         translator.events(input, out);
@@ -91,7 +96,7 @@
     odd.kind = "never heard of";
     const auto news = only<ListNews>(list(5, true, {server("s1", ServerState::ready, "nowhere"), odd}));
     ASSERT_EQ(news.entries.size(), 1U);
-    EXPECT_FALSE(translator.order(SetLine{1, 1, 1.0F}).has_value());
+    EXPECT_FALSE(order(SetLine{1, 1, 1.0F}).has_value());
 }
 
 TEST_F(TranslatorTest, GoneServersThatWereNeverListedAreNoNews) {
@@ -169,7 +174,7 @@
     }
     EXPECT_EQ(last, 1999U);
     EXPECT_EQ(translator.endpoint(last), "127.0.0.9:5000");
-    EXPECT_FALSE(translator.order(SetLine{1, 0, 1}).has_value()) << "forgotten";
+    EXPECT_FALSE(order(SetLine{1, 0, 1}).has_value()) << "forgotten";
     // One that has gone only lately comes back under its number.
     EXPECT_EQ(only<ListNews>(list(++rev, false, {server("s1990")})).entries[0].server, 1990U);
 }
@@ -212,19 +217,19 @@
 
 TEST_F(TranslatorTest, OrdersAreWrittenWithNamesAndPlainDigits) {
     know({"s-1", "s-2"});
-    EXPECT_EQ(translator.order(SetLine{4, 1, 1.5F}), "share,4,s-2,1.5");
-    EXPECT_EQ(translator.order(SetLine{4, 0, 0.0F}), "share,4,s-1,0");
-    EXPECT_EQ(translator.order(DropLines{4}), "clear,4");
-    EXPECT_EQ(translator.order(Bind{17, 4, 0}), "bind,17,4,*");
-    EXPECT_EQ(translator.order(Bind{17, 4, 3}), "bind,17,4,lookup+write it");
-    EXPECT_EQ(translator.order(Withdraw{0, true}), "withdraw,s-1");
-    EXPECT_EQ(translator.order(Withdraw{0, false}), "restore,s-1");
-    EXPECT_EQ(translator.order(SetLevel{4, 1e6F, 1, 1}), "admit,4,lookup,1000000,1");
-    EXPECT_EQ(translator.order(SetLevel{kAllTables, 0.0001F, 0, 0}), "admit,*,*,0.0001,0");
-    EXPECT_EQ(translator.order(Mark{905, true}), "mark,905,1");
-    EXPECT_EQ(translator.order(Mark{905, false}), "mark,905,0");
-    EXPECT_EQ(translator.order(SetLine{4, 99, 1.0F}), std::nullopt) << "never listed";
-    EXPECT_EQ(translator.order(ArmTimer{1, 2}), std::nullopt);
+    EXPECT_EQ(order(SetLine{4, 1, 1.5F}), "share,4,s-2,1.5");
+    EXPECT_EQ(order(SetLine{4, 0, 0.0F}), "share,4,s-1,0");
+    EXPECT_EQ(order(DropLines{4}), "clear,4");
+    EXPECT_EQ(order(Bind{17, 4, 0}), "bind,17,4,*");
+    EXPECT_EQ(order(Bind{17, 4, 3}), "bind,17,4,lookup+write it");
+    EXPECT_EQ(order(Withdraw{0, true}), "withdraw,s-1");
+    EXPECT_EQ(order(Withdraw{0, false}), "restore,s-1");
+    EXPECT_EQ(order(SetLevel{4, 1e6F, 1, 1}), "admit,4,lookup,1000000,1");
+    EXPECT_EQ(order(SetLevel{kAllTables, 0.0001F, 0, 0}), "admit,*,*,0.0001,0");
+    EXPECT_EQ(order(Mark{905, true}), "mark,905,1");
+    EXPECT_EQ(order(Mark{905, false}), "mark,905,0");
+    EXPECT_EQ(order(SetLine{4, 99, 1.0F}), std::nullopt) << "never listed";
+    EXPECT_EQ(order(ArmTimer{1, 2}), std::nullopt);
 }
 
 // ---- Calls ----
@@ -284,37 +289,86 @@
 
 // ---- Calls of unknown outcome ----
 
-TEST(ResendGuards, LetASmallCallGoAgainAtOnce) {
-    Settings settings;
-    settings.messagesMost = 12;
-    settings.messagesOver = 10000000;
-    settings.backlogLines = 1000;
-    settings.pushRate = 1000;
-    ResendGuard guard(settings);
-    EXPECT_EQ(guard.wait(SteadyTime{}).count(), 0);
-    guard.sent(SteadyTime{}, 200);
-    EXPECT_EQ(guard.wait(SteadyTime{}).count(), 0);
-}
-
-TEST(ResendGuards, HoldACallBackWhileAProxyMightGetTooManyMessages) {
-    Settings settings;
-    settings.messagesMost = 3;
-    settings.messagesOver = 10000000;
-    ResendGuard guard(settings);
-    for (int i = 0; i < 5; ++i) guard.sent(SteadyTime{std::chrono::seconds{i}}, 1);
-    // Those at 2, 3 and 4 s count; the next may go once the one at 2 s is 10 s old.
-    EXPECT_EQ(guard.wait(SteadyTime{5s}), 7s);
-    EXPECT_EQ(guard.wait(SteadyTime{12s}), 0s);
-}
-
-TEST(ResendGuards, HoldALargeCallBackUntilItsFirstCopyHasLeftTheChannel) {
-    Settings settings;
-    settings.backlogLines = 1000;
-    settings.pushRate = 500;
-    ResendGuard guard(settings);
-    guard.sent(SteadyTime{1s}, 250);  // more than the fifth that the module leaves
-    EXPECT_EQ(guard.wait(SteadyTime{1s}), 500ms);
-    EXPECT_EQ(guard.wait(SteadyTime{2s}), 0s);
+class SendGuards : public testing::Test {
+protected:
+    static SteadyTime at(std::chrono::milliseconds time) {
+        return SteadyTime{std::chrono::seconds{1000} + time};
+    }
+    Settings settings = [] {
+        Settings out;
+        out.messagesMost = 3;
+        out.messagesOver = 10000000;
+        out.backlogLines = 1000;
+        out.pushRate = 500;
+        return out;
+    }();
+    const OrderCall toOne{{}, 1, {1}}, toTwo{{}, 1, {2}}, toBoth{{}, 1, {1, 2}};
+};
+
+TEST_F(SendGuards, LetASmallCallGoAgainAtOnce) {
+    SendGuard guard(settings);
+    EXPECT_EQ(guard.wait(at(0s), toOne, false), 0s);
+    guard.sent(at(0s), toOne);
+    EXPECT_EQ(guard.wait(at(0s), toOne, true), 0s);
+}
+
+TEST_F(SendGuards, HoldBackWhatWouldBeAMessageTooManyToAnyOfItsProxies) {
+    SendGuard guard(settings);
+    guard.sent(at(0s), toBoth);
+    guard.sent(at(2s), toOne);
+    guard.sent(at(3s), toOne);
+    EXPECT_EQ(guard.wait(at(4s), toTwo, true), 0s);
+    // The one at 0 s counts for ten seconds, and a little longer since two calls may arrive closer than they
+    // left.
+    EXPECT_EQ(guard.wait(at(4s), toOne, true), 6s + limits::kArrivalJitter);
+    EXPECT_EQ(guard.wait(at(4s), toBoth, true), 6s + limits::kArrivalJitter);
+    EXPECT_EQ(guard.wait(at(11s), toOne, true), 0s);
+}
+
+// On a day of garbled answers two calls were sent anew within ten seconds, and the turns that followed made
+// it thirteen messages where twelve are allowed: only what was sent anew had been held back.
+TEST_F(SendGuards, WhatWasSentAnewCountsForTheCallsThatFollow) {
+    SendGuard guard(settings);
+    guard.sent(at(0s), toOne);
+    guard.sent(at(1s), toOne);  // again
+    guard.sent(at(2s), toOne);  // again
+    EXPECT_EQ(guard.wait(at(3s), toOne, false), 7s + limits::kArrivalJitter) << "an ordinary call waits too";
+}
+
+TEST_F(SendGuards, HoldALargeCallBackUntilItsFirstCopyHasLeftTheChannel) {
+    settings.messagesMost = 0;
+    SendGuard guard(settings);
+    const OrderCall large{{}, 250, {1}};  // more than the fifth that the module leaves
+    guard.sent(at(1s), large);
+    EXPECT_EQ(guard.wait(at(1s), large, true), 500ms);
+    EXPECT_EQ(guard.wait(at(1s), large, false), 0s);
+    EXPECT_EQ(guard.wait(at(2s), large, true), 0s);
+}
+
+// ---- Whom a call concerns ----
+
+using Proxies = std::vector<ProxyId>;
+
+TEST(Audiences, AreThoseBoundThoseWhoseTablesChangeAndAllWhereAServerIsShutOut) {
+    dispatch::Audience audience;
+    for (const ProxyId p : {1, 2, 3}) audience.joined(p);
+    using namespace protocol;
+    EXPECT_EQ(audience.of({LineOrder{7, "s", 1}, BindOrder{1, 7, 0}, MarkOrder{1, false}}), (Proxies{1}));
+    EXPECT_EQ(audience.of({BindOrder{2, 7, 1}, BindOrder{2, 8, 2}}), (Proxies{2}));
+    EXPECT_EQ(audience.of({LineOrder{7, "s", 2}}), (Proxies{1, 2}));
+    EXPECT_EQ(audience.of({LevelOrder{8, 0, 1, 1}}), (Proxies{2}));
+    EXPECT_EQ(audience.of({LineOrder{9, "s", 2}}), Proxies{}) << "nobody uses it yet";
+    EXPECT_EQ(audience.of({ShutOrder{"s", true}}), (Proxies{1, 2, 3}));
+    EXPECT_EQ(audience.of({MarkOrder{2, true}}), (Proxies{1, 2, 3}));
+    EXPECT_EQ(audience.of({ClearOrder{kAllTables}}), (Proxies{1, 2, 3}));
+    EXPECT_EQ(audience.of({BindOrder{2, 7, 0}}), (Proxies{2}));
+    EXPECT_EQ(audience.of({LineOrder{8, "s", 1}}), Proxies{})
+        << "a bind for all classes takes the others away";
+    audience.left(1);
+    EXPECT_EQ(audience.of({LineOrder{7, "s", 3}}), (Proxies{2}));
+    audience.joined(2);
+    EXPECT_EQ(audience.of({LineOrder{7, "s", 3}}), Proxies{})
+        << "who has joined anew uses none of our tables";
 }
 
 TEST_F(TranslatorTest, CostOfACallIsBoundedAsIfItConcernedEveryProxy) {
@@ -455,9 +509,9 @@
 
     PlannerThread::Outlets outlets() {
         PlannerThread::Outlets out;
-        out.call = [this](Orders orders, double) {
+        out.call = [this](OrderCall call) {
             const std::lock_guard lock(mutex);
-            calls.push_back(std::move(orders));
+            calls.push_back(std::move(call.orders));
             changed.notify_all();
         };
         out.probe = [](ServerId, const std::string&) {};
--- a/tests/routing/sockets_test.cpp
+++ b/tests/routing/sockets_test.cpp
@@ -54,17 +54,17 @@
     start([](Scripted::Client& c) {
         for (const char* piece : {"O", "K", " ", "2", "\r", "\n"}) c.say(piece);
     });
-    calls->call({"clear,1", "mark,1,0"}, 10);
+    calls->call(OrderCall{{"clear,1", "mark,1,0"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1;mark,1,0\r\n");
-    calls->call({"clear,2", "mark,2,0"}, 10);
+    calls->call(OrderCall{{"clear,2", "mark,2,0"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 2; }));
     EXPECT_EQ(relay->came(), 1U) << "the connection is kept";
 }
 
 TEST_F(CallsTest, BreakAfterTheCallSendsTheSameAgainOnANewConnection) {
     start([](Scripted::Client& c) { c.number == 0 ? c.hangUp() : c.say("OK 1\r\n"); });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(relay->got(0), "APPLY clear,1\r\n");
     EXPECT_EQ(relay->got(1), "APPLY clear,1\r\n");
@@ -74,7 +74,7 @@
     start([](Scripted::Client& c) {
         if (c.number > 0) c.say("OK 1\r\n");
     });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\nAPPLY clear,1\r\n");
     EXPECT_EQ(relay->came(), 2U);
@@ -86,7 +86,7 @@
         const std::string answers[] = {"OK 7\r\n", "\x01\x02\r\n", endless, "OK 1\r\n"};
         c.say(answers[std::min<std::size_t>(c.number, 3)]);
     });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(relay->came(), 4U);
     for (std::size_t n = 0; n < 4; ++n) EXPECT_EQ(relay->got(n), "APPLY clear,1\r\n");
@@ -95,7 +95,7 @@
 TEST_F(CallsTest, BusyIsAskedAgainUntilTheRunBegins) {
     int asked = 0;
     start([&](Scripted::Client& c) { c.say(++asked < 3 ? "BUSY\r\n" : "OK 1\r\n"); });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(asked, 3);
 }
@@ -103,7 +103,7 @@
 TEST_F(CallsTest, ShortAnswerDropsOneOrderAndSendsTheRest) {
     int asked = 0;
     start([&](Scripted::Client& c) { c.say(++asked == 1 ? "OK 1\r\n" : "OK 2\r\n"); });
-    calls->call({"a", "bad", "c", "d"}, 10);
+    calls->call(OrderCall{{"a", "bad", "c", "d"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY a;bad;c;d\r\nAPPLY c;d\r\n");
 }
@@ -113,7 +113,7 @@
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 1; }));
     relay->client(0).hangUp();
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 2; }));
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\n") << "sent once";
 }
@@ -124,7 +124,7 @@
     relay->client(0).say("OK 1\r\n");
     ASSERT_TRUE(runUntil(loop, [&] { return relay->came() == 2; }));
     EXPECT_EQ(done, 0);
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
 }
 
@@ -136,7 +136,7 @@
     }
     calls = std::make_unique<RelayCalls>(
         loop, address, settings, [this] { ++done; }, kSilent);
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     std::unique_ptr<transport::Listener> late;
     std::vector<std::unique_ptr<transport::Connection>> accepted;
     int refused = 0;
@@ -372,9 +372,9 @@
         calls->moveTo(next.address());
         c.say("OK 1\r\n");
     });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
-    calls->call({"clear,2"}, 10);
+    calls->call(OrderCall{{"clear,2"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 2; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\n");
     EXPECT_EQ(next.got(0), "APPLY clear,2\r\n");
@@ -386,7 +386,7 @@
         calls->moveTo(next.address());
         c.hangUp();
     });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(heard(), "APPLY clear,1\r\n");
     EXPECT_EQ(next.got(0), "APPLY clear,1\r\n");
@@ -398,7 +398,7 @@
         c.say("BUSY\r\n");
         calls->moveTo(next.address());
     });
-    calls->call({"clear,1"}, 10);
+    calls->call(OrderCall{{"clear,1"}, 10, {}});
     ASSERT_TRUE(runUntil(loop, [&] { return done == 1; }));
     EXPECT_EQ(next.got(0), "APPLY clear,1\r\n");
 }
