--- a/clients/cpp/marldale/session.h
+++ b/clients/cpp/marldale/session.h
@@ -119,8 +119,8 @@
             }
         }
         void OnDone(const ::grpc::Status& status) override {
-            // The context holds the channel, which must not go away on a thread of the library: this object goes before
-            // the session knows that it may.
+            // The context holds the channel, which must not go away on a thread of the library: this object
+            // goes before the session knows that it may.
             Session& session = owner;
             const ::grpc::Status end = status;
             auto kept = std::exchange(self, nullptr);
--- a/src/grpc/credentials.cpp
+++ b/src/grpc/credentials.cpp
@@ -141,14 +141,15 @@
     return std::make_shared<RingCredentials>(ring);
 }
 
-Identity identify(const std::string& chain, const std::string& clientsCa, std::int64_t now) {
+Identity identify(const std::string& own, const std::string& others, const std::string& clientsCa,
+                  std::int64_t now) {
     Identity out;
-    const Certificates sent = certificatesIn(chain);
-    if (sk_X509_num(sent.get()) == 0) {
+    const Certificates mine = certificatesIn(own), sent = certificatesIn(others);
+    if (sk_X509_num(mine.get()) == 0) {
         out.refused = "no client certificate";
         return out;
     }
-    X509* const client = sk_X509_value(sent.get(), 0);
+    X509* const client = sk_X509_value(mine.get(), 0);
     const Certificates roots = certificatesIn(clientsCa);
     const Store store(X509_STORE_new());
     for (int i = 0; i < sk_X509_num(roots.get()); ++i) {
--- a/src/grpc/credentials.h
+++ b/src/grpc/credentials.h
@@ -49,7 +49,9 @@
     std::vector<std::string> names;  // URIs, DNS names, then the common name
     std::string refused;             // why it does not stand; empty if it does
 };
-// `chain`: the client's own certificate and what it sent with it, PEM. `now`: seconds since 1970.
-[[nodiscard]] Identity identify(const std::string& chain, const std::string& clientsCa, std::int64_t now);
+// `own`: the client's certificate; `others`: what it sent along, which may lead from it to the authority;
+// PEM. `now`: seconds since 1970.
+[[nodiscard]] Identity identify(const std::string& own, const std::string& others,
+                                const std::string& clientsCa, std::int64_t now);
 
 }  // namespace marldale::grpc_front
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -1,6 +1,7 @@
 #include "grpc/server.h"
 
 #include <grpc/grpc_security_constants.h>
+#include <grpc/support/log.h>
 #include <grpcpp/resource_quota.h>
 
 #include <algorithm>
@@ -31,6 +32,25 @@
     return out;
 }
 
+// The library's own lines go where all others go: it tells each failed handshake, and has no limit.
+struct LibraryLog {
+    std::mutex mutex;
+    routing::Logger log;
+};
+LibraryLog& libraryLog() {
+    static LibraryLog out;
+    return out;
+}
+void sendLibraryLogTo(routing::Logger log) {
+    const std::lock_guard lock(libraryLog().mutex);
+    libraryLog().log = std::move(log);
+    gpr_set_log_verbosity(GPR_LOG_SEVERITY_ERROR);
+    gpr_set_log_function([](gpr_log_func_args* line) {
+        const std::lock_guard inner(libraryLog().mutex);
+        if (libraryLog().log) libraryLog().log("grpc-library", line->message);
+    });
+}
+
 }  // namespace
 
 Server::Server(const routing::FrontSettings& settings, routing::FrontHost host)
@@ -39,6 +59,7 @@
       streamsMost_(settings.streamsMost),
       passports_(settings.passports),
       pacer_(host_.pace) {
+    sendLibraryLogTo(host_.log);
     if (!plain_) ring_.emplace(readKeys(settings));
     ::grpc::ServerBuilder builder;
     builder.AddListeningPort(settings.listen,
@@ -168,9 +189,11 @@
         return out;
     }
     const auto auth = context.auth_context();
-    std::string chain = property(*auth, GRPC_X509_PEM_CERT_CHAIN_PROPERTY_NAME);
-    if (chain.empty()) chain = property(*auth, GRPC_X509_PEM_CERT_PROPERTY_NAME);
-    const Identity identity = identify(chain, ring_->now()->clientsCa, std::time(nullptr));
+    // The client's own certificate, whose key it has proven to hold; what it sent along only helps to judge
+    // it.
+    const std::string own = property(*auth, GRPC_X509_PEM_CERT_PROPERTY_NAME);
+    const std::string others = property(*auth, GRPC_X509_PEM_CERT_CHAIN_PROPERTY_NAME);
+    const Identity identity = identify(own, others, ring_->now()->clientsCa, std::time(nullptr));
     if (!identity.refused.empty()) {
         out.refused = {StatusCode::UNAUTHENTICATED, identity.refused};
     } else if (const auto known = passport(identity.names)) {
@@ -260,6 +283,7 @@
     }
     queue_->Shutdown();
     thread_.join();
+    sendLibraryLogTo({});
 }
 
 }  // namespace marldale::grpc_front
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace marldale::program {
 namespace {
@@ -140,8 +141,9 @@
         if (!entry.key.empty()) out.said["[" + entry.section + "] " + entry.key] = entry.value;
     }
     for (std::string& text : disagreements(out)) problems.push_back({path, 0, std::move(text)});
-    std::stable_sort(problems.begin() + before, problems.end(),
-                     [](const auto& a, const auto& b) { return a.line < b.line; });
+    std::stable_sort(problems.begin() + before, problems.end(), [](const auto& a, const auto& b) {
+        return std::pair(a.line == 0, a.line) < std::pair(b.line == 0, b.line);
+    });
     return out;
 }
 
--- a/tests/grpc/parties.h
+++ b/tests/grpc/parties.h
@@ -73,8 +73,9 @@
                                                           routing::junctionRules(config, 77));
         routing::FrontHost host;
         host.post = [this](routing::Input input) {
-            watch.change([&] { posted.push_back(input); });
-            return !refusing && thread->post(std::move(input));
+            const bool taken = !refusing && thread->post(input);
+            watch.change([&] { taken ? posted.push_back(input) : (void)++refused; });
+            return taken;
         };
         host.log = log;
         host.zones = config.zones;
@@ -112,6 +113,14 @@
                    })) >= number;
         });
     }
+    // Rows of reports that were taken.
+    [[nodiscard]] std::size_t rows() const {
+        std::size_t out = 0;
+        for (const auto& i : posted) {
+            if (const auto* s = std::get_if<routing::SourceRows>(&i)) out += s->rows.size();
+        }
+        return out;
+    }
     [[nodiscard]] bool logged(const std::string& text) {
         return watch.until([&] {
             return std::any_of(lines.begin(), lines.end(),
@@ -121,7 +130,8 @@
 
     Watch watch;
     std::vector<std::string> calls, lines;
-    std::vector<routing::Input> posted;
+    std::vector<routing::Input> posted;  // and taken
+    std::size_t refused = 0;
     std::atomic<bool> refusing = false;  // as if the queue were full
     std::unique_ptr<routing::PlannerThread> thread;
     std::unique_ptr<grpc_front::Server> server;
