--- a/tests/grpc/parties.h
+++ b/tests/grpc/parties.h
@@ -87,7 +87,10 @@
         host.pace.rowsPerS = config.settings.reportsPerS;
         server = std::make_unique<grpc_front::Server>(settings, std::move(host));
     }
-    ~GrpcPlanner() { server->stop(300); }
+    ~GrpcPlanner() {
+        server->stop(300);
+        thread.reset();  // before the front that it sends commands to
+    }
 
     void list(const std::vector<protocol::CatalogEntry>& entries, bool whole = false) {
         EXPECT_TRUE(thread->post(routing::ListInput{{++rev_, whole, entries, 0}, false}));
