A goodbye that waits behind a write is said before the stream ends

Cause: goodbye() queued its message and called end(), which clears what waits behind a write that is out; on a loaded machine the welcome's write was still out. It says goodbye and lets the node close its side now, for half of the time that the stop has, and only then ends with the status.

Test: a batch that does not fit the window holds the write out while the planner goes away.

--- a/src/grpc/assign_stream.cpp
+++ b/src/grpc/assign_stream.cpp
@@ -154,7 +154,7 @@
 }
 
 void AssignStream::tick(Micros now) {
-    breakOffIfStuck(now);
+    endInTime(now);
     if (over() || ending() || !accepted()) return;
     if (node_.empty() && now - opened_ >= kHelloWithin) {
         return end({StatusCode::DEADLINE_EXCEEDED, "no hello within 1.1 s"});
@@ -162,11 +162,11 @@
     if (!waiting_.empty()) flush();
 }
 
-void AssignStream::goodbye() {
+void AssignStream::goodbye(Micros until) {
     v1::AssignResponse out;
     out.mutable_goodbye()->set_why("the planner goes away");
     write(std::move(out));
-    end({StatusCode::UNAVAILABLE, "the planner goes away"});
+    leave({StatusCode::UNAVAILABLE, "the planner goes away"}, until);
 }
 
 void AssignStream::renew() {
--- a/src/grpc/assign_stream.h
+++ b/src/grpc/assign_stream.h
@@ -12,7 +12,7 @@
     AssignStream(Server& server, v1::Assignments::AsyncService& service);
 
     void tick(Micros now) override;
-    void goodbye() override;
+    void goodbye(Micros until) override;
     void renew() override;
 
     // Commands of the core.
--- a/src/grpc/report_stream.cpp
+++ b/src/grpc/report_stream.cpp
@@ -155,7 +155,7 @@
 }
 
 void ReportStream::tick(Micros now) {
-    breakOffIfStuck(now);
+    endInTime(now);
     if (over() || ending() || !accepted()) return;
     if (node_.empty() && now - opened_ >= kHelloWithin) {
         return end({StatusCode::DEADLINE_EXCEEDED, "no hello within 1.1 s"});
@@ -171,7 +171,7 @@
     tell();
 }
 
-void ReportStream::goodbye() { end({StatusCode::UNAVAILABLE, "the planner goes away"}); }
+void ReportStream::goodbye(Micros /*until*/) { end({StatusCode::UNAVAILABLE, "the planner goes away"}); }
 
 void ReportStream::renew() {
     if (!accepted() || over() || guest_.names.empty()) return;
--- a/src/grpc/report_stream.h
+++ b/src/grpc/report_stream.h
@@ -10,7 +10,7 @@
     ReportStream(Server& server, v1::LoadReports::AsyncService& service);
 
     void tick(Micros now) override;
-    void goodbye() override;
+    void goodbye(Micros until) override;
     void renew() override;
 
 private:
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -270,9 +270,10 @@
 void Server::stop(std::int64_t withinMs) {
     if (!thread_.joinable()) return;
     const auto deadline = std::chrono::system_clock::now() + std::chrono::milliseconds(withinMs);
-    post([this] {
+    // Peers have half of the time to read their goodbye.
+    post([this, until = now() + withinMs * 1000 / 2] {
         for (std::size_t i = 0; i < streams_.size(); ++i) {
-            if (streams_[i]->accepted()) streams_[i]->goodbye();
+            if (streams_[i]->accepted()) streams_[i]->goodbye(until);
         }
     });
     server_->Shutdown(deadline);  // no new streams; those left at the deadline are cancelled
--- a/src/grpc/stream.h
+++ b/src/grpc/stream.h
@@ -1,5 +1,6 @@
-// One bidirectional call of the asynchronous server, on the one thread that its completion queue has. Each
-// operation of the library has a tag; the object lives until all of its operations have come back.
+// One bidirectional call of the asynchronous server, on the one thread that its
+// completion queue has. Each operation of the library has a tag; the object
+// lives until all of its operations have come back.
 #pragma once
 
 #include <grpcpp/grpcpp.h>
@@ -28,7 +29,7 @@
 
     virtual void tick(Micros now) = 0;
     virtual void end(const ::grpc::Status& status) = 0;
-    virtual void goodbye() = 0;                       // the planner goes away
+    virtual void goodbye(Micros until) = 0;           // the planner goes away; `until`: in the server's time
     virtual void renew() = 0;                         // the passports have changed
     [[nodiscard]] virtual bool dead() const = 0;      // no operation is out any more
     [[nodiscard]] virtual bool accepted() const = 0;  // a client has opened it
@@ -42,7 +43,8 @@
     [[nodiscard]] bool dead() const override { return pending_ == 0 && (over_ || !accepted_); }
     [[nodiscard]] bool accepted() const override { return accepted_; }
 
-    // Ends it in order once what is being written is written, and without ceremony if that takes too long.
+    // Ends it in order once what is being written is written, and without
+    // ceremony if that takes too long.
     void end(const ::grpc::Status& status) override {
         if (ending_ || over_) return;
         ending_ = status;
@@ -51,7 +53,14 @@
     }
 
 protected:
-    // A write that is stuck behind a full flow-control window is broken off after so long.
+    // Ends it so once the client has closed its side, or at `until`: what is
+    // still to be written gets its time, which `end` does not give it.
+    void leave(const ::grpc::Status& status, Micros until) {
+        leaving_ = status;
+        leaveAt_ = until;
+    }
+    // A write that is stuck behind a full flow-control window is broken off after
+    // so long.
     static constexpr Micros kEndWithin = 200000;
     static constexpr std::size_t kWritesMost = 256;  // that wait behind it
 
@@ -96,7 +105,8 @@
     [[nodiscard]] const ::grpc::ServerContext& context() const { return context_; }
 
     // To be called from `tick`.
-    void breakOffIfStuck(Micros now) {
+    void endInTime(Micros now) {
+        if (leaving_ && now >= leaveAt_) end(*leaving_);
         if (!ending_ || finishing_ || over_) return;
         if (endSince_ == 0) endSince_ = now;
         if (now - endSince_ >= kEndWithin) context_.TryCancel();
@@ -124,7 +134,7 @@
         reading_ = false;
         if (over_ || ending_) return;
         if (!ok) {  // the client has no more to say, or is gone
-            end(::grpc::Status::OK);
+            end(leaving_.value_or(::grpc::Status::OK));
             return;
         }
         onRequest(request_);
@@ -166,8 +176,8 @@
     int pending_ = 0;
     bool accepted_ = false, reading_ = false, writing_ = false, finishing_ = false, over_ = false,
          paused_ = false;
-    std::optional<::grpc::Status> ending_;
-    Micros endSince_ = 0;
+    std::optional<::grpc::Status> leaving_, ending_;
+    Micros leaveAt_ = 0, endSince_ = 0;
 };
 
 }  // namespace marldale::grpc_front
--- a/tests/grpc/hard_test.cpp
+++ b/tests/grpc/hard_test.cpp
@@ -8,6 +8,18 @@
 
 using ::grpc::StatusCode;
 
+// A planner that goes away, in a thread of its own; it has ten seconds for what takes a moment.
+class Leaving {
+public:
+    explicit Leaving(GrpcPlanner& planner) : thread_([&planner] { planner.server->stop(20000); }) {}
+    ~Leaving() { thread_.join(); }
+    Leaving(const Leaving&) = delete;
+    Leaving& operator=(const Leaving&) = delete;
+
+private:
+    std::thread thread_;
+};
+
 class GrpcHard : public testing::Test {
 protected:
     std::uint32_t markOf(const v1::Batch& batch) {
@@ -33,6 +45,24 @@
         EXPECT_TRUE(binds(batch, 1));
         return peer;
     }
+    // Relay 2 on a stream that nobody reads, with a table that does not fit the flow-control window: the
+    // write of its first batch stays out.
+    auto joinedWithATableOverTheWindow(v1::Assignments::Stub& stub, ::grpc::ClientContext& context) {
+        std::vector<protocol::CatalogEntry> many;
+        for (int i = 0; i < 2500; ++i) {
+            many.push_back(box("server-with-a-long-name-" + std::to_string(i), "a"));
+        }
+        planner.list(many, true);
+        auto stream = stub.Assign(&context);
+        v1::AssignRequest hello, joined;
+        hello.mutable_hello()->mutable_node()->set_id("mute");
+        joined.mutable_joined()->set_relay(2);
+        joined.mutable_joined()->set_zone("a");
+        EXPECT_TRUE(stream->Write(hello));
+        EXPECT_TRUE(stream->Write(joined));
+        EXPECT_TRUE(planner.await<routing::LaneNews>(1));
+        return stream;
+    }
     static bool kept(AssignPeer& peer) {
         return peer.await([](const auto& r) { return r.has_welcome() && r.welcome().kept(); });
     }
@@ -137,19 +167,9 @@
 // ---- Peers that do not read ----
 
 TEST_F(GrpcHard, ARelayThatStopsReadingIsEndedAndOthersAreServed) {
-    // A table that does not fit the flow-control window, so that the write itself is stuck.
-    std::vector<protocol::CatalogEntry> many;
-    for (int i = 0; i < 2500; ++i) many.push_back(box("server-with-a-long-name-" + std::to_string(i), "a"));
-    planner.list(many, true);
     const auto stub = v1::Assignments::NewStub(planner.channel());
     ::grpc::ClientContext context;
-    const auto mute = stub->Assign(&context);
-    v1::AssignRequest hello, joined;
-    hello.mutable_hello()->mutable_node()->set_id("mute");
-    joined.mutable_joined()->set_relay(2);
-    joined.mutable_joined()->set_zone("a");
-    ASSERT_TRUE(mute->Write(hello));
-    ASSERT_TRUE(mute->Write(joined));
+    const auto mute = joinedWithATableOverTheWindow(*stub, context);
     ASSERT_TRUE(planner.await<routing::LaneClosed>(1)) << "ended without being read";
     v1::Batch batch;
     auto well = bound(batch);
@@ -386,21 +406,41 @@
 }
 
 TEST(GrpcEnd, PeersAreToldThatThePlannerGoesAway) {
-    auto planner = std::make_unique<GrpcPlanner>(smallConfig());
-    AssignPeer relay(planner->channel());
-    ReportPeer collector(planner->channel());
+    GrpcPlanner planner(smallConfig());
+    AssignPeer relay(planner.channel());
+    ReportPeer collector(planner.channel());
     ASSERT_TRUE(relay.hello("relay-1"));
     ASSERT_TRUE(collector.hello("c"));
     ASSERT_TRUE(relay.await([](const auto& r) { return r.has_welcome(); }));
     ASSERT_TRUE(collector.await([](const auto&) { return true; }));
-    planner->server->stop(300);
+    const Leaving leaving(planner);
+    EXPECT_TRUE(relay.await([](const auto& r) { return r.has_goodbye(); }));
+    relay.stream->WritesDone();
     ASSERT_TRUE(relay.awaitEnd());
     ASSERT_TRUE(collector.awaitEnd());
-    EXPECT_TRUE(relay.await([](const auto& r) { return r.has_goodbye(); }));
     EXPECT_EQ(relay.status.error_code(), StatusCode::UNAVAILABLE);
     EXPECT_EQ(relay.status.error_message(), "the planner goes away");
     EXPECT_EQ(collector.status.error_code(), StatusCode::UNAVAILABLE);
 }
 
+// What is being written when the planner goes away must not swallow the goodbye that waits behind it.
+TEST_F(GrpcHard, AGoodbyeBehindAWriteThatIsOutIsStillSaid) {
+    const auto stub = v1::Assignments::NewStub(planner.channel());
+    ::grpc::ClientContext context;
+    AssignPeer prompt(planner.channel());
+    ASSERT_TRUE(prompt.hello("prompt"));
+    const auto late = joinedWithATableOverTheWindow(*stub, context);
+    ASSERT_TRUE(planner.watch.until([this] { return planner.batches > 0; }));
+    const Leaving leaving(planner);
+    ASSERT_TRUE(prompt.await([](const auto& r) { return r.has_goodbye(); }));  // so it is said to all
+    prompt.stream->WritesDone();
+    v1::AssignResponse response;
+    bool goodbye = false;
+    while (!goodbye && late->Read(&response)) goodbye = response.has_goodbye();
+    EXPECT_TRUE(goodbye);
+    late->WritesDone();
+    EXPECT_EQ(late->Finish().error_code(), StatusCode::UNAVAILABLE);
+}
+
 }  // namespace
 }  // namespace marldale::tests
--- a/tests/grpc/parties.h
+++ b/tests/grpc/parties.h
@@ -64,7 +64,11 @@
         outlets.fetchList = [] {};
         outlets.startedOver = [] {};
         outlets.front = [this](std::vector<routing::FrontCommand> commands) {
+            const auto sent = std::count_if(commands.begin(), commands.end(), [](const auto& c) {
+                return std::holds_alternative<dispatch::SendBatch>(c);
+            });
             server->carryOut(std::move(commands));
+            watch.change([&] { batches += static_cast<std::size_t>(sent); });
         };
         const auto log = [this](const char* topic, const std::string& text) {
             watch.change([&] { lines.push_back(std::string(topic) + ": " + text); });
@@ -134,7 +138,7 @@
     Watch watch;
     std::vector<std::string> calls, lines;
     std::vector<routing::Input> posted;  // and taken
-    std::size_t refused = 0;
+    std::size_t refused = 0, batches = 0;  // inputs not taken; batches that went to the front
     std::atomic<bool> refusing = false;  // as if the queue were full
     std::unique_ptr<routing::PlannerThread> thread;
     std::unique_ptr<grpc_front::Server> server;
