--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test sanitize tsan lint format run clean
+.PHONY: packages build test demo measure-grpc sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
@@ -16,6 +16,18 @@
 	$(BUILD) build/tests -j4
 	ctest --test-dir build/tests --output-on-failure -j4
 
+# A planner at work among stand-ins, in less than a minute.
+demo: packages
+	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
+	$(BUILD) build/demo -j4
+	build/demo/bench/marldale_demo
+
+# The promises of the gRPC front, played and counted; ends with 1 where one breaks.
+measure-grpc: packages
+	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
+	$(BUILD) build/demo -j4
+	build/demo/bench/measure_grpc
+
 sanitize:
 	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON -DMARLDALE_SANITIZE=ON
 	$(BUILD) build/sanitize -j4
@@ -29,7 +41,8 @@
 	TSAN_OPTIONS="ignore_noninstrumented_modules=1 suppressions=$(CURDIR)/tests/tsan.supp" \
 	ctest --test-dir build/tsan --output-on-failure -j4 -R '^Grpc(Thread|Hard|Crowd|End)\.'
 
-SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'example/*.cpp')
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'example/*.cpp' \
+	'bench/*.cpp' 'bench/*.h' 'clients/*.cpp' 'clients/*.h')
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
--- a/clients/cpp/marldale/assignments.cpp
+++ b/clients/cpp/marldale/assignments.cpp
@@ -36,15 +36,17 @@
     return out;
 }
 
+// Nobody waits for the welcome: it comes before any batch.
+void Assignments::greeted() {
+    for (const auto& [id, relay] : relays_) say(joinedOf(relay));
+}
+
 void Assignments::got(const v1::AssignResponse& response) {
     answered();
     if (response.has_welcome()) {
         tables_.welcome(response.welcome());
         standing_ = true;
-        for (const auto& [id, relay] : relays_) {
-            tables_.join(id);
-            say(joinedOf(relay));
-        }
+        for (const auto& [id, relay] : relays_) tables_.join(id);
         if (handlers_.welcomed) handlers_.welcomed(response.welcome().kept());
     } else if (response.has_batch()) {
         const RelayTables::Outcome outcome = tables_.apply(response.batch());
@@ -52,12 +54,14 @@
         out.mutable_taken()->set_nonce(response.batch().nonce());
         out.mutable_taken()->set_orders(outcome.taken);
         out.mutable_taken()->set_refused_because(outcome.refusedBecause);
-        say(std::move(out));
         if (handlers_.applied) handlers_.applied(response.batch(), outcome);
+        say(std::move(out));
     } else if (response.has_release()) {
         tables_.leave(response.release().relay());
         relays_.erase(response.release().relay());
         if (handlers_.released) handlers_.released(response.release().relay(), response.release().why());
+    } else if (response.has_goodbye()) {
+        sayNoMore();
     }
 }
 
@@ -69,7 +73,6 @@
 void Assignments::join(const Relay& relay) {
     const std::lock_guard lock(mutex_);
     relays_[relay.id] = relay;
-    if (!standing_) return;
     tables_.join(relay.id);
     say(joinedOf(relay));
 }
@@ -77,13 +80,21 @@
 void Assignments::leave(std::uint32_t relay) {
     const std::lock_guard lock(mutex_);
     relays_.erase(relay);
-    if (!standing_) return;
     tables_.leave(relay);
     v1::AssignRequest out;
     out.mutable_left()->set_relay(relay);
     say(std::move(out));
 }
 
+void Assignments::breakOffWithout(const std::set<std::uint32_t>& relays) {
+    const std::lock_guard lock(mutex_);
+    for (const std::uint32_t relay : relays) {
+        relays_.erase(relay);
+        tables_.leave(relay);
+    }
+    breakOff();
+}
+
 void Assignments::answer(const std::set<std::uint32_t>& relays, std::uint32_t mark,
                          std::chrono::microseconds took) {
     if (relays.empty()) return;
--- a/clients/cpp/marldale/assignments.h
+++ b/clients/cpp/marldale/assignments.h
@@ -41,13 +41,18 @@
                 AssignmentsHandlers handlers);
     ~Assignments();  // breaks the stream off; no handler runs any more once it returns
 
-    // A relay has come, or has left. Before the stream stands they are kept for it.
+    // A relay has come, or has left. While no stream is open they are kept for it.
     void join(const Relay& relay);
     void leave(std::uint32_t relay);
     // These relays have applied everything up to the mark.
     void answer(const std::set<std::uint32_t>& relays, std::uint32_t mark, std::chrono::microseconds took);
     void bye();  // the last word; it does not dial again
 
+    // These relays have left, and the stream breaks without a word of it.
+    void breakOffWithout(const std::set<std::uint32_t>& relays);
+
+    // For handlers: the tables as they are.
+    [[nodiscard]] const RelayTables& tables() const { return tables_; }
     [[nodiscard]] bool standing() const;  // welcomed, and not ended since
     // With the tables as they are now, while nothing changes them.
     template <class Look>
@@ -58,6 +63,7 @@
 
 private:
     v1::AssignRequest hello() override;
+    void greeted() override;
     void got(const v1::AssignResponse& response) override;
     void over(const ::grpc::Status& status) override;
 
--- a/clients/cpp/marldale/session.h
+++ b/clients/cpp/marldale/session.h
@@ -39,6 +39,16 @@
         const std::lock_guard lock(mutex_);
         if (!std::exchange(open_, true)) dial();
     }
+    // Dials at once if no stream is open.
+    void dialNow() {
+        const std::lock_guard lock(mutex_);
+        open_ = true;
+        dial();
+    }
+    [[nodiscard]] bool dialled() const {
+        const std::lock_guard lock(mutex_);
+        return call_ != nullptr;
+    }
     // As if the connection had broken.
     void breakOff() {
         const std::lock_guard lock(mutex_);
@@ -60,6 +70,10 @@
     void say(Request request) {
         if (call_) call_->say(std::move(request));
     }
+    // The stream ends with what the server says; it is dialled again then.
+    void sayNoMore() {
+        if (call_) call_->sayNoMore();
+    }
     void sayLast(Request request) {
         open_ = false;
         if (call_) call_->say(std::move(request), true);
@@ -78,6 +92,7 @@
 
     // Hooks, with the lock held.
     virtual Request hello() = 0;
+    virtual void greeted() {}  // what follows the hello at once
     virtual void got(const Response& response) = 0;
     virtual void over(const ::grpc::Status& status) = 0;
 
@@ -91,6 +106,10 @@
             last = last || isLast;
             writeNext();
         }
+        void sayNoMore() {
+            last = true;
+            writeNext();
+        }
         void writeNext() {
             if (writing || broken) return;
             if (waiting.empty()) {
@@ -146,6 +165,7 @@
         call_->StartRead(&call_->response);
         call_->StartCall();
         call_->say(hello());
+        greeted();
     }
     void forget(std::shared_ptr<Call>& call) {
         const std::lock_guard lock(mutex_);
