--- a/bench/grpc_costs.cpp
+++ b/bench/grpc_costs.cpp
@@ -129,6 +129,17 @@
         watch_.until(
             "relays to be bound", [this] { return bound_.size() >= joined_; }, std::chrono::seconds{30});
     }
+    // Every stream breaks, and is dialled anew with what it holds.
+    void breakAndRejoin() {
+        for (auto& stream : streams_) stream->breakOff();
+        watch_.until("streams to end", [this] { return ended_ >= streams_.size(); });
+        watch_.change([&] {
+            bound_.clear();
+            ended_ = 0;
+        });
+        for (auto& stream : streams_) stream->dialNow();
+        awaitBound();
+    }
     [[nodiscard]] std::size_t bound() {
         return watch_.look([this] { return bound_.size(); });
     }
@@ -175,6 +186,7 @@
             const bool has = stream.tables().tableOf(id, site_.classes.front()) != nullptr;
             told(outcome.taken, outcome.concerned, has ? std::vector{id} : std::vector<std::uint32_t>{});
         };
+        handlers.ended = [this](const ::grpc::Status&) { watch_.change([&] { ++ended_; }); };
         streams_[at] = std::make_unique<client::Assignments>(channelTo(site_.planner.grpcAddress()),
                                                              std::move(options), std::move(handlers));
         streams_[at]->join({id, zone, 1, true});
@@ -199,7 +211,7 @@
     std::set<std::uint32_t> bound_;
     Clock::time_point start_ = Clock::now();
     std::map<std::uint32_t, double> latencies_;  // of each relay's first message since then
-    std::size_t orders_ = 0, messages_ = 0;
+    std::size_t orders_ = 0, messages_ = 0, ended_ = 0;
 };
 
 }  // namespace
@@ -291,6 +303,22 @@
     return out;
 }
 
+Rejoin rejoin(int relays) {
+    Site site(Protocol::grpc, relays / 3);
+    Rejoin out;
+    for (std::size_t* into : {&out.first, &out.forgotten}) {
+        CountingRelays parties(site, true, relays);
+        parties.awaitBound();
+        (void)site.planner.quietCpuMs();
+        *into = parties.orders();
+        if (into == &out.first) continue;
+        parties.breakAndRejoin();
+        (void)site.planner.quietCpuMs();
+        out.told = parties.orders() - out.forgotten;
+    }
+    return out;
+}
+
 Idle idle(bool withGrpc, int starts) {
     Idle out;
     for (int i = 0; i < starts; ++i) {
--- a/bench/grpc_costs.h
+++ b/bench/grpc_costs.h
@@ -40,6 +40,13 @@
 // That many relays with a stream and a connection each, all bound.
 [[nodiscard]] Crowd crowd(int relays);
 
+// Orders on all streams when every relay joins for the first time, and when all have broken off and joined
+// again: as nodes that have forgotten what they held, and as nodes that tell it.
+struct Rejoin {
+    std::size_t first = 0, forgotten = 0, told = 0;
+};
+[[nodiscard]] Rejoin rejoin(int relays);
+
 struct Idle {
     double residentMb = 0, anonymousMb = 0, startMs = 0;
     std::size_t descriptors = 0, threads = 0;
--- a/bench/measure_grpc.cpp
+++ b/bench/measure_grpc.cpp
@@ -134,6 +134,13 @@
         ours.cpuMs / static_cast<double>(ours.messages) /
             (theirs.cpuMs / static_cast<double>(theirs.messages)),
         ours.latency(0.5) / theirs.latency(0.5), ours.latency(0.99) / theirs.latency(0.99));
+    const auto again = marldale::bench::rejoin(kRelays);
+    std::printf(
+        "  orders at a storm of joins: %zu at first, %zu when nodes have forgotten what they held, %zu when "
+        "they "
+        "tell it\n",
+        again.first, again.forgotten, again.told);
+    promise(again.told < again.forgotten, "what a node still holds is not sent again");
     promise(perRow <= 1.5, "CPU per row of a report over gRPC is no more than 1.5 times the platform's");
 }
 
