--- /dev/null
+++ b/cmake/trace.cmake
@@ -0,0 +1,22 @@
+# Recorded traffic: readers, traces, what may be tried again, and marldale_trace.
+find_package(ZLIB REQUIRED)
+pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
+find_path(PCG_INCLUDE pcg_random.hpp REQUIRED)
+
+# What may be tried again and what never; no I/O.
+add_library(marldale_attempts STATIC
+  src/attempts/chains.cpp src/attempts/effect_ledger.cpp src/attempts/gate.cpp src/attempts/journal.cpp
+  src/attempts/outcome.cpp src/attempts/schedule.cpp)
+target_include_directories(marldale_attempts PUBLIC src)
+target_include_directories(marldale_attempts SYSTEM PRIVATE ${PCG_INCLUDE})
+
+add_library(marldale_trace_files STATIC src/trace/file.cpp src/trace/format.cpp)
+target_link_libraries(marldale_trace_files PUBLIC marldale_attempts PRIVATE nlohmann_json::nlohmann_json PkgConfig::ZSTD)
+
+add_library(marldale_sources STATIC
+  src/sources/byte_source.cpp src/sources/classes.cpp src/sources/clock_keeper.cpp src/sources/har_reader.cpp
+  src/sources/import_settings.cpp src/sources/importer.cpp src/sources/line_splitter.cpp src/sources/log_format.cpp
+  src/sources/overlap_guard.cpp src/sources/readers.cpp src/sources/record.cpp src/sources/stamp.cpp)
+target_include_directories(marldale_sources SYSTEM PRIVATE ${PCG_INCLUDE})
+target_link_libraries(marldale_sources PUBLIC marldale_trace_files marldale_settings
+  PRIVATE nlohmann_json::nlohmann_json PkgConfig::ZSTD ZLIB::ZLIB)
--- /dev/null
+++ b/src/attempts/chains.cpp
@@ -0,0 +1,80 @@
+#include "attempts/chains.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marldale::attempts {
+namespace {
+
+std::uint64_t mixed(std::uint64_t x) {  // the finalizer of SplitMix64
+    x ^= x >> 30U;
+    x *= 0xbf58476d1ce4e5b9ULL;
+    x ^= x >> 27U;
+    x *= 0x94d049bb133111ebULL;
+    return x ^ (x >> 31U);
+}
+
+}  // namespace
+
+std::size_t ChainJoiner::HashKey::operator()(const Key& key) const {
+    return static_cast<std::size_t>(mixed(key.a + mixed(key.b + key.classIndex)));
+}
+
+ChainJoiner::ChainJoiner(ChainSettings settings) : settings_(std::move(settings)) {
+    if (settings_.byClass.empty()) settings_.byClass.emplace_back();
+    for (const ChainRule& rule : settings_.byClass) longestGap_ = std::max(longestGap_, rule.gapMost);
+}
+
+const ChainRule& ChainJoiner::ruleOf(std::uint32_t classIndex) const {
+    return settings_.byClass[std::min<std::size_t>(classIndex, settings_.byClass.size() - 1)];
+}
+
+bool ChainJoiner::continues(const Open& open, const Try& seen, bool byId) const {
+    const ChainRule& rule = ruleOf(seen.classIndex);
+    if (byId) return seen.at - open.end <= settings_.idKept;
+    return open.invites && open.link.number + 1 < rule.triesMost && seen.at >= open.end - settings_.grain &&
+           seen.at - open.end <= rule.gapMost + settings_.grain;
+}
+
+Link ChainJoiner::join(Table& table, const Key& key, const Try& seen, bool byId) {
+    Open& open = table[key];
+    if (open.link.chain != 0 && continues(open, seen, byId)) {
+        ++open.link.number;
+    } else {
+        open.link = {++last_, 0};
+    }
+    open.start = seen.at;
+    open.end = seen.at + std::max<Micros>(seen.took, 0);
+    open.invites = invitesAnother(seen.answer);
+    due_.push_back({key, seen.at, byId});
+    return open.link;
+}
+
+Link ChainJoiner::add(const Try& seen) {
+    forget(seen.at);
+    if (seen.requestId != 0) return join(byId_, {seen.requestId, 0, seen.classIndex}, seen, true);
+    // Nobody knows who asked: it stands for itself.
+    if (seen.client == 0) return {++last_, 0};
+    return join(byTarget_, {seen.client, seen.target, seen.classIndex}, seen, false);
+}
+
+// What no entry can continue any more, and the oldest where there are too many.
+void ChainJoiner::forget(Micros now) {
+    const Micros kept = std::max(settings_.idKept, longestGap_ + settings_.grain);
+    while (!due_.empty()) {
+        const Due& oldest = due_.front();
+        Table& table = oldest.id ? byId_ : byTarget_;
+        const auto at = table.find(oldest.key);
+        const bool current = at != table.end() && at->second.start == oldest.at;
+        const Micros end = current ? std::max(at->second.end, oldest.at) : oldest.at;
+        const bool crowded = open() > settings_.openMost;
+        if (current && !crowded && now - end <= kept) return;
+        if (current) {
+            if (crowded && now - end <= kept) ++forgottenEarly_;
+            table.erase(at);
+        }
+        due_.pop_front();
+    }
+}
+
+}  // namespace marldale::attempts
--- /dev/null
+++ b/src/attempts/journal.cpp
@@ -0,0 +1,97 @@
+#include "attempts/journal.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cstring>
+
+namespace marldale::attempts {
+namespace {
+
+constexpr unsigned char kMagic = 0xa7;
+constexpr std::size_t kCheckAt = 4, kIntentAt = 8, kKinAt = 16, kTimeAt = 24;
+
+template <class T>
+void put(char* at, T value) {  // least significant byte first
+    for (std::size_t i = 0; i < sizeof(T); ++i) at[i] = static_cast<char>(value >> (8 * i));
+}
+
+template <class T>
+T get(const char* at) {
+    T out = 0;
+    for (std::size_t i = 0; i < sizeof(T); ++i)
+        out |= static_cast<T>(static_cast<unsigned char>(at[i])) << (8 * i);
+    return out;
+}
+
+// Of all bytes but the checksum's own.
+std::uint32_t checkOf(const char* bytes) {
+    std::array<char, kJournalRecord> copy{};
+    std::memcpy(copy.data(), bytes, kJournalRecord);
+    std::memset(copy.data() + kCheckAt, 0, sizeof(std::uint32_t));
+    return XXH32(copy.data(), copy.size(), kMagic);
+}
+
+}  // namespace
+
+std::array<char, kJournalRecord> encode(const JournalRecord& record) {
+    std::array<char, kJournalRecord> out{};
+    out[0] = static_cast<char>(kMagic);
+    out[1] = static_cast<char>(record.kind);
+    out[2] = static_cast<char>(record.effect);
+    put<std::uint64_t>(out.data() + kIntentAt, record.intent);
+    put<std::uint64_t>(out.data() + kKinAt, record.kin);
+    put<std::uint64_t>(out.data() + kTimeAt, static_cast<std::uint64_t>(record.at));
+    put<std::uint32_t>(out.data() + kCheckAt, checkOf(out.data()));
+    return out;
+}
+
+std::optional<JournalRecord> decode(std::string_view bytes) {
+    if (bytes.size() < kJournalRecord || static_cast<unsigned char>(bytes[0]) != kMagic) return std::nullopt;
+    if (get<std::uint32_t>(bytes.data() + kCheckAt) != checkOf(bytes.data())) return std::nullopt;
+    const auto kind = static_cast<unsigned char>(bytes[1]), effect = static_cast<unsigned char>(bytes[2]);
+    if (kind < 1 || kind > 5 || effect > static_cast<unsigned char>(Effect::unknown)) return std::nullopt;
+    return JournalRecord{static_cast<JournalRecord::Kind>(kind), static_cast<Effect>(effect),
+                         get<std::uint64_t>(bytes.data() + kIntentAt),
+                         get<std::uint64_t>(bytes.data() + kKinAt),
+                         static_cast<std::int64_t>(get<std::uint64_t>(bytes.data() + kTimeAt))};
+}
+
+JournalRead readJournal(std::string_view bytes) {
+    JournalRead out;
+    while (out.whole < bytes.size()) {
+        const std::string_view rest = bytes.substr(out.whole);
+        const auto record = decode(rest);
+        if (!record) {
+            // A record is written in one piece at the end: only the last one can be torn.
+            out.torn = rest.size() <= kJournalRecord;
+            out.damaged = !out.torn;
+            return out;
+        }
+        out.records.push_back(*record);
+        out.whole += kJournalRecord;
+    }
+    return out;
+}
+
+Resumed recall(const std::vector<JournalRecord>& records, EffectLedger& ledger) {
+    Resumed out;
+    for (const JournalRecord& r : records) {
+        switch (r.kind) {
+            case JournalRecord::Kind::run:
+                ++out.runs;
+                out.trace = r.intent;
+                out.settings = static_cast<std::uint64_t>(r.at);
+                out.finished = false;
+                break;
+            case JournalRecord::Kind::begun: ledger.begun({r.intent, Effect::unknown, r.kin, r.at}); break;
+            case JournalRecord::Kind::ended: ledger.ended(r.intent, r.effect); break;
+            case JournalRecord::Kind::reached: out.from = r.intent; break;
+            case JournalRecord::Kind::finished: out.finished = true; break;
+        }
+    }
+    ledger.spendOpen();
+    return out;
+}
+
+}  // namespace marldale::attempts
