--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -20,3 +20,20 @@
 target_include_directories(marldale_sources SYSTEM PRIVATE ${PCG_INCLUDE})
 target_link_libraries(marldale_sources PUBLIC marldale_trace_files marldale_settings
   PRIVATE nlohmann_json::nlohmann_json PkgConfig::ZSTD ZLIB::ZLIB)
+
+# Charts.
+pkg_check_modules(CAIRO REQUIRED IMPORTED_TARGET cairo)
+add_library(marldale_chart STATIC src/chart/chart.cpp)
+target_include_directories(marldale_chart PUBLIC src)
+target_link_libraries(marldale_chart PRIVATE PkgConfig::CAIRO)
+
+# The replayer: its plan does no I/O.
+find_package(Boost REQUIRED)
+add_library(marldale_replay STATIC
+  src/replay/engine.cpp src/replay/journal_file.cpp src/replay/plan.cpp src/replay/results.cpp src/trace/statistics.cpp)
+target_link_libraries(marldale_replay PUBLIC marldale_trace_files marldale_transport Boost::headers
+  PRIVATE nlohmann_json::nlohmann_json)
+
+add_executable(marldale_trace src/trace_program/commands.cpp src/trace_program/main.cpp)
+target_link_libraries(marldale_trace PRIVATE marldale_sources marldale_replay marldale_chart nlohmann_json::nlohmann_json
+  CLI11::CLI11)
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -40,6 +40,9 @@
     check->add_option("files", out.files,
                       "Further files: JSON is taken for configuration, anything else for settings");
     check->add_flag("--keys", out.keys, "Print every settings key as a table and end");
+    app.add_subcommand("trace",
+                       "Recorded traffic: import, show, stats, cut, merge, scale, classify (marldale_trace)");
+    app.add_subcommand("replay", "Play recorded traffic against boxes (marldale_trace)");
     const auto* const version = app.add_subcommand("version", "Print the version");
     try {
         app.parse(argc, argv);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,9 +1,16 @@
+#include <unistd.h>
+
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <string_view>
+#include <system_error>
 
 #include "program/check.h"
 #include "program/command_line.h"
@@ -72,8 +79,22 @@
 
 }  // namespace
 
+// Recorded traffic is another program's, beside this one: the planner links none of what it needs.
+int runBeside(char** argv) {
+    std::error_code error;
+    const auto self = std::filesystem::read_symlink("/proc/self/exe", error);
+    const std::string program = (self.parent_path() / "marldale_trace").string();
+    execv(program.c_str(), argv);
+    std::fprintf(stderr, "marldale: %s can't be run (%s): build with -DMARLDALE_TRACE=ON\n", program.c_str(),
+                 std::strerror(errno));
+    return 1;
+}
+
 int main(int argc, char** argv) {
     using marldale::program::Verb;
+    if (argc > 1 && (std::string_view(argv[1]) == "trace" || std::string_view(argv[1]) == "replay")) {
+        return runBeside(argv);
+    }
     holdHangUp(SIG_BLOCK);
     int status = 0;
     const auto asked = marldale::program::parseCommandLine(argc, argv, status);
--- a/src/sources/har_reader.cpp
+++ b/src/sources/har_reader.cpp
@@ -146,6 +146,8 @@
     bool start_object(std::size_t) override { return open('{'); }
     bool start_array(std::size_t) override { return open('['); }
     bool end_object() override {
+        keys_.back().clear();  // the place is the object itself again
+        place();
         if (inEntry_ && path_ == ".request.headers[]") header();
         return close();
     }
@@ -164,6 +166,7 @@
         const std::uint64_t rest = state_.taken - told_;
         const bool broken = broken_ || !whole || !state_.error.empty();
         if (broken || counts_.entries == 0) {
+            flush();
             Place place{file_, told_, rest, ++counts_.entries, 0};
             sink_.bad(place,
                       !state_.error.empty() ? std::string_view(state_.error)
--- /dev/null
+++ b/src/trace_program/commands.cpp
@@ -0,0 +1,512 @@
+#include "trace_program/commands.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "chart/chart.h"
+#include "sources/importer.h"
+#include "trace/statistics.h"
+
+namespace marldale::trace_program {
+namespace {
+
+using sources::ImportResult;
+
+constexpr Micros kSecond = 1000000;
+constexpr int kBadShown = 10;  // on the screen; the file has them all
+
+volatile std::sig_atomic_t interrupted = 0;
+void onInterrupt(int) { interrupted = 1; }
+
+double seconds(Micros span) { return static_cast<double>(span) / 1e6; }
+
+std::string when(Micros at) {
+    char text[40];
+    return std::string(sources::shown(at, text));
+}
+
+// A moment of the record: a full time, or seconds from the trace's beginning.
+Micros momentOf(const std::string& text, Micros first) {
+    if (const auto stamp = sources::readAnyTime(text); stamp && text.find('-') != std::string::npos)
+        return stamp->at;
+    char* end = nullptr;
+    const double into = std::strtod(text.c_str(), &end);
+    if (text.empty() || *end != '\0' || into < 0) {
+        throw std::runtime_error(
+            text + " is neither a time, as 2026-12-01T20:00:00Z, nor seconds from the beginning");
+    }
+    return first + static_cast<Micros>(into * 1e6);
+}
+
+Micros firstOf(const std::string& path) {
+    trace::Reader reader(path);
+    trace::Entry entry;
+    return reader.next(entry) ? entry.at : 0;
+}
+
+void tellDamage(const trace::Reader& reader) {
+    if (reader.damagedBlocks() > 0) {
+        std::fprintf(stderr, "%llu damaged blocks are left out\n",
+                     static_cast<unsigned long long>(reader.damagedBlocks()));
+    }
+    if (reader.cut()) std::fprintf(stderr, "the trace is cut; what stands before is whole\n");
+}
+
+bool readRules(const std::string& path, sources::ImportSettings& into) {
+    std::vector<settings::Problem> problems;
+    into = sources::readImportSettings(path, problems);
+    for (const auto& problem : problems) std::fprintf(stderr, "%s\n", problem.shown().c_str());
+    return problems.empty();
+}
+
+unsigned long long ull(std::uint64_t value) { return value; }
+
+void tell(const ImportResult& result) {
+    for (const sources::FileTally& f : result.files) {
+        std::printf(
+            "%s: %llu read = %llu taken + %llu bad + %llu left out; %llu bytes = %llu + %llu + %llu\n",
+            f.name.c_str(), ull(f.read), ull(f.taken), ull(f.bad), ull(f.allLeftOut()), ull(f.readBytes),
+            ull(f.takenBytes), ull(f.badBytes), ull(f.leftOutBytes));
+        for (std::size_t rule = 0; rule < f.leftOut.size(); ++rule) {
+            if (f.leftOut[rule] == 0) continue;
+            std::printf("  left out: %llu, %s\n", ull(f.leftOut[rule]),
+                        sources::name(static_cast<sources::LeftOut>(rule)));
+        }
+        const auto& c = f.clock;
+        if (c.outOfOrder + c.stepsBack + c.stepsForward + c.leapSeconds + c.spread > 0) {
+            std::printf(
+                "  clock: %llu out of order, %llu steps back and %llu forward (%.3f s at the end, %llu "
+                "entries shifted), "
+                "%llu leap seconds, %llu spread within their second\n",
+                ull(c.outOfOrder), ull(c.stepsBack), ull(c.stepsForward), seconds(c.shift), ull(c.stepped),
+                ull(c.leapSeconds), ull(c.spread));
+        }
+        for (const std::string& words : f.blind) std::printf("  can't tell: %s\n", words.c_str());
+        if (f.rotations > 0) std::printf("  rotated %llu times while it was read\n", ull(f.rotations));
+        if (!f.brokeOff.empty()) std::printf("  broke off: %s\n", f.brokeOff.c_str());
+    }
+    std::printf("%llu entries, %llu wishes, %llu further tries\n", ull(result.entries), ull(result.chains),
+                ull(result.retries));
+    for (const auto& [name, count] : result.byClass) {
+        if (count > 0) std::printf("  %-16s %llu\n", name.c_str(), ull(count));
+    }
+}
+
+// A pause between two looks at a file that grows, or the end.
+std::function<bool()> goOn(int forSeconds) {
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(forSeconds);
+    return [forSeconds, until] {
+        if (interrupted != 0) return false;
+        if (forSeconds > 0 && std::chrono::steady_clock::now() >= until) return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return interrupted == 0;
+    };
+}
+
+int judge(const ImportResult& result, double badShareMost) {
+    if (!result.addsUp()) {
+        std::fprintf(stderr,
+                     "what was read and what became of it do not add up: nothing of this may be relied on\n");
+        return kNotAddedUp;
+    }
+    const double share =
+        result.read() == 0 ? 0 : static_cast<double>(result.bad()) / static_cast<double>(result.read());
+    if (share > badShareMost) {
+        std::fprintf(
+            stderr,
+            "%.1f%% of the entries are bad, more than the %.1f%% that [import] bad_share_most allows\n",
+            100 * share, 100 * badShareMost);
+        return kTooBad;
+    }
+    for (const auto& f : result.files) {
+        if (!f.brokeOff.empty()) return kTooBad;
+    }
+    return kRight;
+}
+
+}  // namespace
+
+// ---- import, classify ----
+
+int importCommand(const ImportAsked& asked) {
+    sources::ImportAsk ask;
+    if (!readRules(asked.rules, ask.settings)) return kMisunderstood;
+    ask.files = asked.files;
+    ask.to = asked.to;
+    ask.follow = asked.follow;
+    if (asked.follow) {
+        std::signal(SIGINT, onInterrupt);
+        std::signal(SIGTERM, onInterrupt);
+        ask.goOn = goOn(asked.followForS);
+    }
+    std::ofstream bad;
+    if (!asked.badFile.empty()) {
+        bad.open(asked.badFile, std::ios::trunc);
+        if (!bad) throw std::runtime_error("can't write " + asked.badFile);
+    }
+    std::uint64_t told = 0;
+    ask.onBad = [&](const sources::BadEntry& b) {
+        std::ostringstream line;
+        line << b.file << ':' << b.place.line << ':' << b.place.column << ": " << b.why << " (byte "
+             << b.place.offset << ", " << b.place.bytes << " bytes): " << b.excerpt;
+        if (bad.is_open()) bad << line.str() << '\n';
+        if (++told <= kBadShown) std::fprintf(stderr, "%s\n", line.str().c_str());
+    };
+    const ImportResult result = sources::importFiles(ask);
+    if (told > kBadShown) {
+        std::fprintf(stderr, "... and %llu more bad entries%s\n", ull(told - kBadShown),
+                     bad.is_open() ? (", all in " + asked.badFile).c_str() : "; --bad FILE keeps them all");
+    }
+    if (bad.is_open() && !bad.flush()) throw std::runtime_error("can't write " + asked.badFile);
+    tell(result);
+    return judge(result, ask.settings.badShareMost);
+}
+
+int classifyCommand(const ClassifyAsked& asked) {
+    sources::ImportAsk ask;
+    if (!readRules(asked.rules, ask.settings)) return kMisunderstood;
+    ask.files = asked.files;
+    struct Seen {
+        std::uint64_t count = 0;
+        std::map<std::string, std::uint64_t> examples;
+    };
+    std::map<std::string, Seen> seen;
+    ask.onEntry = [&](const trace::Entry& e, const std::string& name) {
+        Seen& s = seen[name];
+        ++s.count;
+        const std::string what = e.method + " " + e.path + " " + std::to_string(e.answer.status);
+        const auto at = s.examples.find(what);
+        if (at != s.examples.end())
+            ++at->second;
+        else if (s.examples.size() < 1000)
+            s.examples.emplace(what, 1);
+    };
+    const ImportResult result = sources::importFiles(ask);
+    for (const std::string& name : ask.settings.rules.names()) {
+        const Seen& s = seen[name];
+        std::printf("%-16s %llu%s\n", name.c_str(), ull(s.count), s.count == 0 ? "  (matches nothing)" : "");
+        std::vector<std::pair<std::uint64_t, std::string>> most;
+        for (const auto& [what, count] : s.examples)
+            most.emplace_back(count, sources::harmless(what, 0, 100));
+        std::sort(most.rbegin(), most.rend());
+        for (std::size_t i = 0; i < most.size() && i < static_cast<std::size_t>(asked.examples); ++i) {
+            std::printf("    %8llu %s\n", ull(most[i].first), most[i].second.c_str());
+        }
+    }
+    return judge(result, ask.settings.badShareMost);
+}
+
+// ---- show, stats ----
+
+int showCommand(const ShowAsked& asked) {
+    trace::Reader reader(asked.trace);
+    const Micros first = firstOf(asked.trace);
+    const Micros from = asked.from.empty() ? 0 : momentOf(asked.from, first);
+    const Micros until = asked.until.empty() ? 0 : momentOf(asked.until, first);
+    if (from > 0) reader.seek(from);
+    trace::Entry e;
+    std::uint64_t shown = 0;
+    std::printf("%-27s %-14s %6s %10s %12s %5s %s\n", "start", "class", "status", "took ms", "wish", "try",
+                "request");
+    while (shown < asked.most && reader.next(e)) {
+        if (e.at < from) continue;
+        if (until > 0 && e.at >= until) break;
+        if (asked.chains && e.number == 0) continue;
+        ++shown;
+        const std::string took =
+            e.took < 0 ? "-" : std::to_string(e.took / 1000) + "." + std::to_string(e.took / 100 % 10);
+        std::printf(
+            "%-27s %-14s %6s %10s %12llu %5u %s\n", when(e.at).c_str(),
+            reader.head().classes[e.classIndex].name.c_str(),
+            e.answer.status == 0 ? attempts::name(e.answer.ended) : std::to_string(e.answer.status).c_str(),
+            took.c_str(), ull(e.chain), e.number,
+            sources::harmless(e.method + " " + e.host + e.path, 0, 100).c_str());
+    }
+    tellDamage(reader);
+    return kRight;
+}
+
+int statsCommand(const StatsAsked& asked) {
+    trace::Reader reader(asked.trace);
+    trace::Statistics statistics(reader.head(), static_cast<Micros>(asked.binS * 1e6));
+    trace::Entry e;
+    while (reader.next(e)) statistics.add(e);
+    statistics.finish();
+    tellDamage(reader);
+    const double span = std::max(seconds(statistics.last() - statistics.first()), 1e-6);
+    if (asked.json) {
+        nlohmann::json out{
+            {"entries", statistics.entries()}, {"first", when(statistics.first())},
+            {"last", when(statistics.last())}, {"seconds", span},
+            {"clients", statistics.clients()}, {"busiest_tenth", statistics.shareOfBusiest(0.1)},
+            {"blind", reader.head().blind},    {"classes", nlohmann::json::array()}};
+        for (const auto& c : statistics.classes()) {
+            nlohmann::json chains = nlohmann::json::object();
+            for (const auto& [tries, count] : c.chainTries) chains[std::to_string(tries)] = count;
+            out["classes"].push_back({{"name", c.name},
+                                      {"entries", c.entries},
+                                      {"rate", static_cast<double>(c.entries) / span},
+                                      {"first_tries", c.firstTries},
+                                      {"unknown", c.unknown},
+                                      {"chains_by_tries", chains},
+                                      {"gap_ms_p50", c.gaps.quantile(0.5) / 1000},
+                                      {"gap_ms_p99", c.gaps.quantile(0.99) / 1000},
+                                      {"took_ms_p50", c.durations.quantile(0.5) / 1000},
+                                      {"took_ms_p99", c.durations.quantile(0.99) / 1000},
+                                      {"bins", c.bins}});
+        }
+        std::printf("%s\n", out.dump(2).c_str());
+    } else {
+        std::printf(
+            "%llu entries from %s to %s (%.1f s), %zu clients; the busiest tenth of them brings %.0f%%\n",
+            ull(statistics.entries()), when(statistics.first()).c_str(), when(statistics.last()).c_str(),
+            span, statistics.clients(), 100 * statistics.shareOfBusiest(0.1));
+        for (const std::string& words : reader.head().blind) std::printf("can't tell: %s\n", words.c_str());
+        std::printf("%-16s %9s %9s %10s %9s | %10s %10s | %10s %10s | wishes by tries\n", "class", "entries",
+                    "rate /s", "first", "unknown", "gap p50", "p99 ms", "took p50", "p99 ms");
+        for (const auto& c : statistics.classes()) {
+            if (c.entries == 0) continue;
+            std::printf("%-16s %9llu %9.2f %10llu %9llu | %10.1f %10.1f | %10.1f %10.1f |", c.name.c_str(),
+                        ull(c.entries), static_cast<double>(c.entries) / span, ull(c.firstTries),
+                        ull(c.unknown), c.gaps.quantile(0.5) / 1000, c.gaps.quantile(0.99) / 1000,
+                        c.durations.quantile(0.5) / 1000, c.durations.quantile(0.99) / 1000);
+            for (const auto& [tries, count] : c.chainTries) std::printf(" %u:%llu", tries, ull(count));
+            std::printf("\n");
+        }
+    }
+    if (asked.plot.empty()) return kRight;
+    chart::Chart chart{"Requests by class",
+                       "seconds from " + when(statistics.first()),
+                       "requests a second",
+                       std::to_string(statistics.entries()) + " entries in spans of " +
+                           std::to_string(asked.binS).substr(0, 4) + " s",
+                       {},
+                       false};
+    for (const auto& c : statistics.classes()) {
+        if (c.entries == 0) continue;
+        chart::Line line{c.name, {}, true};
+        for (std::size_t i = 0; i < c.bins.size(); ++i) {
+            line.points.emplace_back(static_cast<double>(i) * asked.binS,
+                                     static_cast<double>(c.bins[i]) / asked.binS);
+        }
+        chart.lines.push_back(std::move(line));
+    }
+    chart::draw(chart, asked.plot);
+    return kRight;
+}
+
+// ---- cut, merge, scale ----
+
+int cutCommand(const CutAsked& asked) {
+    const Micros first = firstOf(asked.trace);
+    const Micros from = asked.from.empty() ? 0 : momentOf(asked.from, first);
+    const Micros until = asked.until.empty() ? 0 : momentOf(asked.until, first);
+    trace::Reader reader(asked.trace);
+    trace::Writer writer(asked.to, reader.head());
+    if (from > 0) reader.seek(from);
+    trace::Entry e;
+    while (reader.next(e) && (until == 0 || e.at < until)) {
+        if (e.at >= from) writer.add(std::move(e));
+    }
+    writer.finish();
+    tellDamage(reader);
+    std::printf("%llu entries\n", ull(writer.entries()));
+    return kRight;
+}
+
+int mergeCommand(const MergeAsked& asked) {
+    trace::Merger merger(asked.traces);
+    trace::Writer writer(asked.to, merger.head());
+    trace::Entry e;
+    while (merger.next(e)) writer.add(std::move(e));
+    writer.finish();
+    if (merger.damagedBlocks() > 0)
+        std::fprintf(stderr, "%llu damaged blocks are left out\n", ull(merger.damagedBlocks()));
+    std::printf("%llu entries\n", ull(writer.entries()));
+    return kRight;
+}
+
+int scaleCommand(const ScaleAsked& asked) {
+    attempts::ScheduleSettings settings;
+    settings.shareByClass.assign(64 + 1, asked.share);
+    settings.seed = asked.seed;
+    const attempts::Schedule schedule(settings);
+    trace::Reader reader(asked.trace);
+    trace::Writer writer(asked.to, reader.head());
+    trace::Entry e;
+    const auto most = static_cast<std::uint64_t>(asked.share) + 1;
+    while (reader.next(e)) {
+        const unsigned copies = schedule.copies(e.chain, 0);
+        for (unsigned copy = 0; copy < copies; ++copy) {
+            trace::Entry one = e;
+            // Each copy is a client and a wish of its own.
+            one.chain = (e.chain - 1) * most + copy + 1;
+            if (copy > 0 && one.client != 0) one.client += copy * 0x9e3779b97f4a7c15ULL;
+            if (copy > 0 && one.requestId != 0) one.requestId += copy * 0x9e3779b97f4a7c15ULL;
+            writer.add(std::move(one));
+        }
+    }
+    writer.finish();
+    tellDamage(reader);
+    std::printf("%llu entries\n", ull(writer.entries()));
+    return kRight;
+}
+
+// ---- replay ----
+
+namespace {
+
+bool isLoopback(const std::string& host) { return host.starts_with("127."); }
+
+void readTargets(const ReplayAsked& asked, replay::EngineSettings& into) {
+    const std::set<std::string> allowed(asked.allow.begin(), asked.allow.end());
+    for (const std::string& text : asked.targets) {
+        const auto at = transport::parseAddress(text);
+        if (!at) throw std::runtime_error(text + " is no address, as 127.0.0.1:8080");
+        if (!isLoopback(at->host) && allowed.count(text) == 0) {
+            throw std::runtime_error(text +
+                                     " is not loopback: name it with --allow too, if it is yours to load");
+        }
+        into.targets.push_back(*at);
+    }
+}
+
+void readShares(const ReplayAsked& asked, const trace::Head& head, std::vector<double>& into) {
+    into.assign(head.classes.size(), 1);
+    for (const std::string& text : asked.shares) {
+        const auto equals = text.rfind('=');
+        char* end = nullptr;
+        const double share = equals == std::string::npos ? -1 : std::strtod(text.c_str() + equals + 1, &end);
+        const std::string name = text.substr(0, std::min(equals, text.size()));
+        const auto at = std::find_if(head.classes.begin(), head.classes.end(),
+                                     [&](const auto& c) { return c.name == name; });
+        if (at == head.classes.end() || share < 0 || share > 100 || *end != '\0') {
+            throw std::runtime_error(text +
+                                     ": a share is CLASS=NUMBER from 0 to 100, with a class of the trace");
+        }
+        into[static_cast<std::size_t>(at - head.classes.begin())] = share;
+    }
+}
+
+// What a resumed run must have in common with the one before.
+std::uint64_t hashOf(const ReplayAsked& asked) {
+    std::uint64_t out = 0xcbf29ce484222325ULL;  // FNV-1a
+    const auto take = [&out](const std::string& text) {
+        for (const char c : text + '\n') out = (out ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    };
+    for (const std::string& share : asked.shares) take(share);
+    take(asked.unknown);
+    take(asked.tries);
+    take(asked.from);
+    take(asked.until);
+    take(std::to_string(asked.plan.schedule.loops));
+    take(std::to_string(asked.plan.schedule.seed));
+    return out;
+}
+
+void write(const std::string& path, const std::string& text) {
+    if (path.empty()) return;
+    std::ofstream out(path, std::ios::trunc);
+    out << text;
+    if (!out.flush()) throw std::runtime_error("can't write " + path);
+}
+
+void plot(const std::string& path, const replay::Results& results) {
+    if (path.empty()) return;
+    chart::Chart chart{"Replay: sent by class", "seconds of the replay", "requests a second", "", {}, false};
+    std::uint64_t sent = 0;
+    for (std::size_t i = 0; i < results.classes.size(); ++i) {
+        if (results.bySecond[i].empty()) continue;
+        chart::Line line{results.classes[i], {}, true};
+        for (const auto& [second, bin] : results.bySecond[i]) {
+            line.points.emplace_back(static_cast<double>(second), static_cast<double>(bin.sent));
+            sent += bin.sent;
+        }
+        chart.lines.push_back(std::move(line));
+    }
+    chart.note = std::to_string(sent) + " requests";
+    chart::draw(chart, path);
+}
+
+}  // namespace
+
+int replayCommand(ReplayAsked asked) {
+    auto reader = std::make_unique<trace::Reader>(asked.trace);
+    const trace::Head head = reader->head();
+    const Micros first = firstOf(asked.trace);
+    replay::PlanSettings& plan = asked.plan;
+    if (!asked.from.empty()) plan.schedule.from = momentOf(asked.from, first);
+    if (!asked.until.empty()) plan.schedule.until = momentOf(asked.until, first);
+    plan.schedule.loopGap = static_cast<Micros>(asked.loopGapS * 1e6);
+    readShares(asked, head, plan.schedule.shareByClass);
+    readTargets(asked, asked.engine);
+    plan.targets = asked.engine.targets.size();
+    plan.tries = asked.tries == "first" ? replay::Tries::first : replay::Tries::recorded;
+    plan.effects.unknown = asked.unknown == "once" ? attempts::Unknown::once : attempts::Unknown::leaveOut;
+    plan.waitMost = static_cast<Micros>(asked.waitS * 1e6);
+    asked.engine.answerWithin = static_cast<Micros>(asked.answerS * 1e6);
+    asked.engine.durationMost = static_cast<Micros>(asked.durationS * 1e6);
+    asked.engine.drainWithin = static_cast<Micros>(asked.drainS * 1e6);
+
+    const bool effects =
+        std::any_of(head.classes.begin(), head.classes.end(), [](const auto& c) { return c.hasEffect; });
+    if (effects && asked.journal.empty()) {
+        throw std::runtime_error(
+            "the trace has classes that must not run twice: name a journal with --journal");
+    }
+    std::unique_ptr<replay::JournalFile> journal;
+    if (!asked.journal.empty()) {
+        journal = std::make_unique<replay::JournalFile>(
+            asked.journal, asked.sync == "none" ? replay::Sync::none : replay::Sync::each);
+    }
+    replay::Plan playing(
+        plan, head.classes, [&](trace::Entry& e) { return reader->next(e); },
+        [&] { reader = std::make_unique<trace::Reader>(asked.trace); });
+    std::uint64_t skip = 0;
+    if (journal) {
+        const std::uint64_t identity = reader->identity(), settings = hashOf(asked);
+        const attempts::Resumed resumed = attempts::recall(journal->records(), playing.ledger());
+        if (resumed.runs > 0 && (resumed.trace != identity || resumed.settings != settings)) {
+            throw std::runtime_error(
+                "the journal " + asked.journal +
+                " is of another trace, or of other shares, tries, window, loops or seed");
+        }
+        if (resumed.finished)
+            throw std::runtime_error("the journal " + asked.journal + " is of a replay that came to its end");
+        skip = resumed.from;
+        journal->append(
+            {{attempts::JournalRecord::Kind::run, {}, identity, 0, static_cast<std::int64_t>(settings)}},
+            true);
+    }
+    std::vector<std::string> names;
+    for (const auto& c : head.classes) names.push_back(c.name);
+    replay::Results results(names);
+    transport::Loop loop;
+    std::function<void(const std::string&)> progress;
+    if (!asked.quiet && isatty(STDERR_FILENO) != 0) {
+        progress = [](const std::string& text) { std::fprintf(stderr, "\r%-78s", text.c_str()); };
+    }
+    replay::Engine engine(loop, asked.engine, playing, results, journal.get(), progress);
+    const transport::Signal interrupt(loop, SIGINT, [&] { engine.stop("SIGINT"); });
+    const transport::Signal terminate(loop, SIGTERM, [&] { engine.stop("SIGTERM"); });
+    const replay::Summary summary = engine.run(skip);
+    if (progress) std::fprintf(stderr, "\n");
+    tellDamage(*reader);
+    std::printf("%s", replay::resultsText(results, playing.figures(), summary).c_str());
+    write(asked.results, replay::resultsJson(results, playing.figures(), summary));
+    write(asked.csv, replay::resultsCsv(results));
+    plot(asked.plot, results);
+    return summary.stopped ? kStopped : kRight;
+}
+
+}  // namespace marldale::trace_program
