--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test demo measure-grpc sanitize tsan lint format run clean
+.PHONY: packages build test demo measure-grpc measure-replay sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
@@ -28,6 +28,13 @@
 	$(BUILD) build/demo -j4
 	build/demo/bench/measure_grpc
 
+# The promises of recorded traffic and its replay; LARGE=1024 for the large file of the issue, out of CI.
+LARGE := 200
+measure-replay: packages
+	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
+	$(BUILD) build/demo -j4
+	build/demo/bench/measure_replay $(LARGE)
+
 sanitize:
 	cmake -B build/sanitize -DCMAKE_BUILD_TYPE=Debug -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON -DMARLDALE_SANITIZE=ON
 	$(BUILD) build/sanitize -j4
--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -1,6 +1,7 @@
 # Recorded traffic: readers, traces, what may be tried again, and marldale_trace.
 find_package(ZLIB REQUIRED)
 pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
+find_package(simdjson REQUIRED)
 find_path(PCG_INCLUDE pcg_random.hpp REQUIRED)
 
 # What may be tried again and what never; no I/O.
@@ -19,7 +20,7 @@
   src/sources/overlap_guard.cpp src/sources/readers.cpp src/sources/record.cpp src/sources/stamp.cpp)
 target_include_directories(marldale_sources SYSTEM PRIVATE ${PCG_INCLUDE})
 target_link_libraries(marldale_sources PUBLIC marldale_trace_files marldale_settings
-  PRIVATE nlohmann_json::nlohmann_json PkgConfig::ZSTD ZLIB::ZLIB)
+  PRIVATE nlohmann_json::nlohmann_json simdjson::simdjson PkgConfig::ZSTD ZLIB::ZLIB)
 
 # Charts.
 pkg_check_modules(CAIRO REQUIRED IMPORTED_TARGET cairo)
--- a/src/attempts/chains.cpp
+++ b/src/attempts/chains.cpp
@@ -37,17 +37,18 @@
 }
 
 Link ChainJoiner::join(Table& table, const Key& key, const Try& seen, bool byId) {
-    Open& open = table[key];
-    if (open.link.chain != 0 && continues(open, seen, byId)) {
-        ++open.link.number;
-    } else {
-        open.link = {++last_, 0};
+    const auto known = table.find(key);
+    const bool goesOn = known != table.end() && continues(known->second, seen, byId);
+    const Link link =
+        goesOn ? Link{known->second.link.chain, known->second.link.number + 1} : Link{++last_, 0};
+    const Open open{link, seen.at + std::max<Micros>(seen.took, 0), seen.at, invitesAnother(seen.answer)};
+    if (byId || open.invites) {
+        table[key] = open;
+        due_.push_back({key, seen.at, byId});
+    } else if (known != table.end()) {
+        table.erase(known);  // it is served: nothing goes on from here
     }
-    open.start = seen.at;
-    open.end = seen.at + std::max<Micros>(seen.took, 0);
-    open.invites = invitesAnother(seen.answer);
-    due_.push_back({key, seen.at, byId});
-    return open.link;
+    return link;
 }
 
 Link ChainJoiner::add(const Try& seen) {
--- a/src/sources/har_reader.cpp
+++ b/src/sources/har_reader.cpp
@@ -1,8 +1,12 @@
-// HAR 1.2 (http://www.softwareishard.com/blog/har-12-spec/) over nlohmann's SAX parser. Unknown members and
-// those that begin with `_` are skipped, but for `_error`, by which browsers say why there is no answer.
+// HAR 1.2 (http://www.softwareishard.com/blog/har-12-spec/). A scanner finds the entries in the stream of
+// bytes, and simdjson reads each by itself: memory is that of one entry, and a bad one does not take its
+// neighbours along. Members that begin with `_` are skipped, but for `_error`, by which browsers say why
+// there is no answer.
+#include <simdjson.h>
+
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 #include "sources/readers.h"
 
@@ -10,384 +14,395 @@
 namespace {
 
 constexpr std::size_t kStringMost = std::size_t{64} << 10U;  // kept of a string; bodies may have any size
+constexpr std::size_t kEntryMost = std::size_t{4} << 20U;    // of an entry with its strings cut
+constexpr std::size_t kDepthMost = 256;
+constexpr std::size_t kHeadersMost = 64;
 constexpr double kLongestMs = 24 * 3600 * 1e3;
-constexpr std::size_t kDepthMost = 64;
 
-// Characters of a source, one at a time, for the parser. Of long strings only the beginning goes on.
-class Characters {
+// Bytes of a string that mean something: its end, and an escape.
+constexpr std::array<bool, 256> kInString = [] {
+    std::array<bool, 256> out{};
+    out['"'] = out['\\'] = true;
+    return out;
+}();
+// And outside of strings.
+constexpr std::array<bool, 256> kOutside = [] {
+    std::array<bool, 256> out{};
+    for (const char c : {'"', '{', '}', '[', ']'}) out[static_cast<unsigned char>(c)] = true;
+    return out;
+}();
+
+// Finds `log.entries[]` in a stream of JSON and gathers one value of it at a time, strings cut.
+class Scanner {
 public:
-    using iterator_category = std::input_iterator_tag;
-    using value_type = char;
-    using difference_type = std::ptrdiff_t;
-    using pointer = const char*;
-    using reference = const char&;
+    struct Found {
+        std::string text;         // of one entry
+        std::uint64_t bytes = 0;  // of the file since the one before
+        bool tooLarge = false;
+    };
 
-    struct State {
-        explicit State(ByteSource& s) : source(s), buffer(std::size_t{64} << 10U) { step(); }
-        // To the next character that goes on; at the end `ended`.
-        void step() {
-            while (at != size || fill()) {
-                current = buffer[at++];
-                ++taken;
-                if (!inString || (current == '"' && !escaped)) {
-                    if (current == '"') begin(!inString);
-                    return;
-                }
-                // What is dropped begins with a character or an escape, and not within a pair of surrogates.
-                const bool unit = !escaped && hexLeft == 0 && !pairOpen;
-                dropping = dropping || (length >= kStringMost && unit && (current & 0xc0) != 0x80);
-                ++length;
-                track();
-                if (!dropping) return;
-            }
-        }
-        void begin(bool string) {
-            inString = string;
-            escaped = pairOpen = dropping = false;
-            hexLeft = 0;
-            length = 0;
-        }
-        void track() {
-            if (escaped) {
-                escaped = false;
-                hexLeft = current == 'u' ? 4 : 0;
-                hex = 0;
-                if (hexLeft == 0) pairOpen = false;
-            } else if (hexLeft > 0) {
-                const unsigned digit = current <= '9' ? current - '0' : (current | 0x20) - 'a' + 10;
-                hex = hex * 16 + (digit & 0xfU);
-                if (--hexLeft == 0)
-                    pairOpen = hex >> 10U == 0x36;  // a high surrogate, whose other half follows
-            } else {
-                escaped = current == '\\';
-                pairOpen = pairOpen && escaped;
-            }
-        }
-        bool fill() {
-            if (ended) return false;
-            at = 0;
-            try {
-                size = source.read(buffer.data(), buffer.size());
-            } catch (const SourceError& e) {
-                error = e.what();
-                size = 0;
+    explicit Scanner(ByteSource& source) : source_(source), buffer_(std::size_t{256} << 10U) {}
+
+    // False at the end of the entries, or where the bytes are no JSON any more.
+    bool next(Found& found) {
+        found.text.clear();
+        found.tooLarge = false;
+        gathered_ = &found;
+        while (fill()) {
+            if (step()) {
+                found.bytes = taken() - told_;
+                told_ = taken();
+                return true;
             }
-            ended = size == 0;
-            return !ended;
+            if (broken_) break;
         }
-        ByteSource& source;
-        std::vector<char> buffer;
-        std::size_t at = 0, size = 0, length = 0;
-        unsigned hexLeft = 0, hex = 0;
-        std::uint64_t taken = 0;
-        char current = 0;
-        bool inString = false, escaped = false, pairOpen = false, dropping = false, ended = false;
-        std::string error;
-    };
-
-    Characters() = default;
-    explicit Characters(State& state) : state_(&state) {}
-    reference operator*() const { return state_->current; }
-    Characters& operator++() {
-        state_->step();
-        return *this;
+        return false;
     }
-    Characters operator++(int) {
-        state_->step();
-        return *this;
+    // All that is left is read.
+    [[nodiscard]] std::uint64_t finish() {
+        while (fill()) at_ = size_;
+        return taken() - told_;
     }
-    bool operator==(const Characters& other) const { return over() == other.over(); }
-    bool operator!=(const Characters& other) const { return !(*this == other); }
-
-private:
-    [[nodiscard]] bool over() const {
-        return state_ == nullptr || (state_->ended && state_->at == state_->size);
+    [[nodiscard]] std::uint64_t taken() const { return before_ + at_; }
+    // The file came to its end where an object of JSON does.
+    [[nodiscard]] bool whole() const {
+        return !broken_ && error_.empty() && begun_ && stack_.empty() && !inString_;
     }
-    State* state_ = nullptr;
-};
-
-}  // namespace
-
-namespace {
+    [[nodiscard]] bool sawEntries() const { return sawEntries_; }
+    [[nodiscard]] const std::string& error() const { return error_; }
+    [[nodiscard]] std::uint64_t pages() const { return pages_; }
 
-class Har : public nlohmann::json_sax<nlohmann::json> {
-public:
-    Har(const Characters::State& state, std::uint32_t file, Sink& sink)
-        : state_(state), file_(file), sink_(sink) {}
+private:
+    enum class Part : std::uint8_t { other, root, log, pages, entries, entry };
 
-    bool null() override { return value(); }
-    bool boolean(bool) override { return value(); }
-    bool number_integer(number_integer_t n) override { return number(static_cast<double>(n)); }
-    bool number_unsigned(number_unsigned_t n) override { return number(static_cast<double>(n)); }
-    bool number_float(number_float_t n, const string_t&) override { return number(n); }
-    bool binary(binary_t&) override { return value(); }
-    bool string(string_t& text) override {
-        const std::string& path = path_;
-        if (path == ".startedDateTime")
-            started_ = text;
-        else if (path == ".request.method")
-            method_ = text;
-        else if (path == ".request.url")
-            url_ = text;
-        else if (path == ".response._error" || path == "._error" || path == ".request._error")
-            error_ = text;
-        else if (path == ".request.headers[].name")
-            headerName_ = text;
-        else if (path == ".request.headers[].value")
-            headerValue_ = text;
-        else if (path == ".connection" || path == ".clientIPAddress" || path == "._clientAddress")
-            client_ = text;
-        else if (path == ".time")
-            wrong("time is no number");
-        else if (path == ".response.status")
-            wrong("the status is no number");
-        return value();
-    }
-    bool start_object(std::size_t) override { return open('{'); }
-    bool start_array(std::size_t) override { return open('['); }
-    bool end_object() override {
-        keys_.back().clear();  // the place is the object itself again
-        place();
-        if (inEntry_ && path_ == ".request.headers[]") header();
-        return close();
-    }
-    bool end_array() override { return close(); }
-    bool key(string_t& name) override {
-        keys_.back() = name.substr(0, 64);
-        place();
-        return true;
+    bool fill() {
+        if (at_ < size_) return true;
+        if (ended_) return false;
+        flush(size_);
+        mark_ = 0;
+        before_ += size_;
+        at_ = size_ = 0;
+        try {
+            size_ = source_.read(buffer_.data(), buffer_.size());
+        } catch (const SourceError& e) {
+            error_ = e.what();
+        }
+        ended_ = size_ == 0;
+        return !ended_;
     }
-    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-        broken_ = true;
-        return false;
+    // What has been marked goes to the entry, up to here.
+    void flush(std::size_t to) {
+        if (!inEntry_ || dropping_) return;
+        if (gathered_->text.size() + (to - mark_) > kEntryMost) {
+            gathered_->tooLarge = true;
+        } else {
+            gathered_->text.append(buffer_.data() + mark_, to - mark_);
+        }
+        mark_ = to;
     }
 
-    HarCounts finish(bool whole) {
-        const std::uint64_t rest = state_.taken - told_;
-        const bool broken = broken_ || !whole || !state_.error.empty();
-        if (broken || counts_.entries == 0) {
-            flush();
-            Place place{file_, told_, rest, ++counts_.entries, 0};
-            sink_.bad(place,
-                      !state_.error.empty() ? std::string_view(state_.error)
-                      : broken              ? "the JSON breaks off or is wrong from here on"
-                      : sawEntries_         ? "there are no entries"
-                                            : "there is no log with entries",
-                      {});
-            told_ += rest;
+    // As far as the buffer goes; true when an entry has ended.
+    bool step() { return inString_ ? (string(), false) : outside(); }
+
+    void string() {
+        const char* const from = buffer_.data() + at_;
+        const char* at = from;
+        const char* const end = buffer_.data() + size_;
+        if (escaped_) {
+            escaped_ = false;
+            ++at;
+        }
+        while (at != end && !kInString[static_cast<unsigned char>(*at)]) ++at;
+        keep(from, static_cast<std::size_t>(at - from));
+        at_ += static_cast<std::size_t>(at - from);
+        if (at == end) return;
+        ++at_;
+        if (*at == '\\') {
+            escaped_ = true;
         } else {
-            last_.bytes += rest;  // the file's end belongs to its last entry
-            told_ += rest;
-            flush();
+            endString();
         }
-        counts_.bytes = told_;
-        return counts_;
     }
-
-private:
-    bool value() {
-        place();
-        return true;
+    // Of a string no more than its beginning goes on. It is cut where a character begins that is none of an
+    // escape, nor within one; what may follow an escape goes on with it.
+    void keep(const char* from, std::size_t size) {
+        length_ += size;
+        if (!inEntry_) {
+            if (keyLength_ + size <= key_.size()) {
+                std::copy_n(from, size, key_.begin() + static_cast<std::ptrdiff_t>(keyLength_));
+            }
+            keyLength_ += size;
+            return;
+        }
+        if (dropping_ || length_ <= kStringMost) return;
+        for (std::size_t i = 12; i < size; ++i) {
+            if ((from[i] & 0xc0) == 0x80) continue;
+            flush(at_ + i);
+            dropping_ = true;
+            return;
+        }
+    }
+    void beginString() {
+        inString_ = true;
+        escaped_ = dropping_ = false;
+        length_ = keyLength_ = 0;
     }
-    bool number(double n) {
-        if (path_ == ".time")
-            time_ = n;
-        else if (path_ == ".response.status")
-            status_ = n;
-        else if (path_ == ".response.bodySize")
-            bodySize_ = n;
-        else if (path_ == ".response.content.size")
-            contentSize_ = n;
-        else if (path_ == ".timings.blocked" || path_ == ".timings.wait" || path_ == ".timings.receive" ||
-                 path_ == ".timings.send" || path_ == ".timings.connect" || path_ == ".timings.dns") {
-            if (n > 0) timings_ += n;
-        } else if (path_ == ".startedDateTime")
-            wrong("startedDateTime is no text");
-        return value();
+    void endString() {
+        inString_ = false;
+        if (dropping_) mark_ = at_ - 1;  // with its quote the text goes on
+        dropping_ = false;
     }
-    // The path within an entry, or within the file as long as there is none.
-    void place() {
-        path_.clear();
-        const std::size_t from = inEntry_ ? entryDepth_ : 0;
-        for (std::size_t i = from; i < keys_.size(); ++i) {
-            if (kinds_[i] == '[')
-                path_ += "[]";
-            else if (!keys_[i].empty())
-                (path_ += '.') += keys_[i];
+    [[nodiscard]] bool lastStringIs(std::string_view name) const {
+        return keyLength_ == name.size() && std::equal(name.begin(), name.end(), key_.begin());
+    }
+
+    bool outside() {
+        const char* const from = buffer_.data() + at_;
+        const char* at = from;
+        const char* const end = buffer_.data() + size_;
+        while (at != end && !kOutside[static_cast<unsigned char>(*at)]) ++at;
+        at_ += static_cast<std::size_t>(at - from);
+        if (at == end) return false;
+        ++at_;
+        switch (*at) {
+            case '"': beginString(); return false;
+            case '{':
+            case '[': open(*at); return false;
+            default: return close(*at);
         }
     }
-    bool open(char kind) {
-        if (kinds_.size() >= kDepthMost) {
+    void open(char c) {
+        const bool object = c == '{';
+        Part part = Part::other;
+        if (!begun_) {
+            part = Part::root;
+            begun_ = true;
+        } else if (stack_.empty()) {
             broken_ = true;
-            return false;
-        }
-        place();
-        if (!inEntry_ && path_ == ".log.entries" && kind == '[') sawEntries_ = true;
-        if (!inEntry_ && path_ == ".log.pages[]" && kind == '{') ++counts_.pages;
-        const bool entry = !inEntry_ && path_ == ".log.entries[]";
-        kinds_ += kind;
-        keys_.emplace_back();
-        if (entry) {
+            return;
+        } else if (stack_.back().part == Part::root && object && lastStringIs("log")) {
+            part = Part::log;
+        } else if (stack_.back().part == Part::log && !object && lastStringIs("entries")) {
+            part = Part::entries;
+            sawEntries_ = true;
+        } else if (stack_.back().part == Part::log && !object && lastStringIs("pages")) {
+            part = Part::pages;
+        } else if (stack_.back().part == Part::pages && object) {
+            ++pages_;
+        } else if (stack_.back().part == Part::entries) {
+            part = Part::entry;
             inEntry_ = true;
-            entryDepth_ = kinds_.size() - 1;
-            clear();
-            if (kind != '{') wrong("the entry is no object");
+            mark_ = at_ - 1;
         }
-        place();
-        return true;
-    }
-    bool close() {
-        if (inEntry_ && kinds_.size() == entryDepth_ + 1) {
-            inEntry_ = false;
-            entry();
+        if (stack_.size() >= kDepthMost) {
+            broken_ = true;
+            return;
         }
-        if (!kinds_.empty()) {
-            kinds_.pop_back();
-            keys_.pop_back();
+        stack_.push_back({part, c});
+    }
+    bool close(char c) {
+        if (stack_.empty() || stack_.back().open != (c == '}' ? '{' : '[')) {
+            broken_ = true;
+            return false;
         }
-        place();
+        const bool entry = stack_.back().part == Part::entry;
+        stack_.pop_back();
+        if (!entry) return false;
+        flush(at_);
+        inEntry_ = false;
         return true;
     }
-    void clear() {
-        started_.clear();
-        method_.clear();
-        url_.clear();
-        error_.clear();
-        client_.clear();
-        wrong_.clear();
-        headers_.clear();
-        time_ = status_ = bodySize_ = contentSize_ = -1;
-        timings_ = 0;
-    }
-    void wrong(const char* why) {
-        if (inEntry_ && wrong_.empty()) wrong_ = why;
+
+    struct Level {
+        Part part;
+        char open;
+    };
+    ByteSource& source_;
+    std::vector<char> buffer_;
+    std::size_t at_ = 0, size_ = 0, mark_ = 0;  // what is read, what there is, what has not gone to the entry
+    std::uint64_t before_ = 0, told_ = 0, pages_ = 0;
+    bool ended_ = false, begun_ = false, broken_ = false, inString_ = false, escaped_ = false,
+         dropping_ = false;
+    bool inEntry_ = false, sawEntries_ = false;
+    std::size_t length_ = 0, keyLength_ = 0;
+    std::array<char, 16> key_{};  // the last string outside of entries, if it is so short
+    std::vector<Level> stack_;
+    Found* gathered_ = nullptr;
+    std::string error_;
+};
+
+using simdjson::dom::element;
+
+bool member(element of, const char* name, element& into) { return of[name].get(into) == simdjson::SUCCESS; }
+bool textOf(element of, const char* name, std::string_view& into) {
+    return of[name].get(into) == simdjson::SUCCESS;
+}
+// -1 where there is none; false where there is something else.
+bool numberOf(element of, const char* name, double& into) {
+    into = -1;
+    element value;
+    if (!member(of, name, value) || value.is_null()) return true;
+    return value.get(into) == simdjson::SUCCESS;
+}
+
+// One entry, judged.
+class HarEntry {
+public:
+    // Why it is bad, or nothing. `record` has views that hold until the next.
+    std::string_view read(const std::string& text, Record& record, bool& blocked) {
+        record = {};
+        blocked = false;
+        element entry;
+        if (parser_.parse(text).get(entry) != simdjson::SUCCESS) return "the entry is no JSON";
+        if (!entry.is_object()) return "the entry is no object";
+        std::string_view started;
+        if (!textOf(entry, "startedDateTime", started)) return "there is no startedDateTime";
+        const auto stamp = readIsoTime(started);
+        if (!stamp) return "startedDateTime is no time";
+        record.at = stamp->at;
+        record.grain = stamp->grain;
+        const std::string_view wrong = request(entry, record, blocked);
+        if (!wrong.empty() || blocked) return wrong;
+        return response(entry, record, blocked);
     }
-    void header() {
-        std::transform(headerName_.begin(), headerName_.end(), headerName_.begin(),
-                       [](unsigned char c) { return std::tolower(c); });
-        // Values of these are secrets, and no rule may look at them.
-        const bool secret =
-            headerName_ == "cookie" || headerName_ == "authorization" || headerName_ == "proxy-authorization";
-        if (!secret && headers_.size() < 64) headers_.emplace_back(headerName_, headerValue_);
-        headerName_.clear();
-        headerValue_.clear();
+    [[nodiscard]] std::string_view url() const { return url_; }
+
+private:
+    std::string_view request(element entry, Record& record, bool& blocked) {
+        url_ = {};
+        element request;
+        if (!member(entry, "request", request) || !textOf(request, "method", record.method) ||
+            !textOf(request, "url", url_)) {
+            return "there is no request with method and url";
+        }
+        if (!splitUrl(url_, record.host, record.target)) {
+            blocked = url_.starts_with("data:") || url_.starts_with("blob:");
+            return blocked ? "" : "the url is no http one";
+        }
+        if (!textOf(entry, "clientIPAddress", record.client))
+            (void)textOf(entry, "_clientAddress", record.client);
+        headers(request, record);
+        return {};
     }
-    // What has been told goes to the sink when the next entry comes, so that each byte has its place.
-    void entry() {
-        flush();
-        last_ = {file_, told_, state_.taken - told_, ++counts_.entries, 0};
-        told_ = state_.taken;
-        pendingBad_ = judge();
-        pending_ = true;
-        keep();
+    void headers(element request, Record& record) {
+        simdjson::dom::array all;
+        if (request["headers"].get(all) != simdjson::SUCCESS) return;
+        names_.clear();
+        names_.reserve(kHeadersMost);
+        for (const element header : all) {
+            std::string_view name, value;
+            if (names_.size() >= kHeadersMost || !textOf(header, "name", name) ||
+                !textOf(header, "value", value))
+                continue;
+            std::string small(name);
+            std::transform(small.begin(), small.end(), small.begin(),
+                           [](unsigned char c) { return std::tolower(c); });
+            // Values of these are secrets, and no rule may look at them.
+            if (small == "cookie" || small == "authorization" || small == "proxy-authorization") continue;
+            if (small == "x-request-id") record.requestId = value;
+            names_.push_back(std::move(small));
+            record.headers.emplace_back(names_.back(), value);
+        }
     }
-    std::string judge() {
-        if (!wrong_.empty()) return wrong_;
-        if (started_.empty()) return "there is no startedDateTime";
-        const auto stamp = readIsoTime(started_);
-        if (!stamp) return "startedDateTime is no time";
-        std::string_view host, target;
-        if (method_.empty() || url_.empty()) return "there is no request with method and url";
-        if (!splitUrl(url_, host, target)) {
-            if (url_.starts_with("data:") || url_.starts_with("blob:")) {
-                blocked_ = true;
-                return {};
-            }
-            return "the url is no http one";
+    std::string_view response(element entry, Record& record, bool& blocked) {
+        element response, content, timings;
+        double time = -1, status = -1, body = -1, size = -1;
+        std::string_view error;
+        if (!numberOf(entry, "time", time)) return "time is no number";
+        if (time > kLongestMs || !std::isfinite(time)) return "time is out of range";
+        if (time < 0 && member(entry, "timings", timings)) time = sumOf(timings);
+        record.took = time < 0 ? -1 : std::llround(time * 1000);
+        (void)textOf(entry, "_error", error);
+        if (member(entry, "response", response)) {
+            if (!numberOf(response, "status", status)) return "the status is no number";
+            if (!numberOf(response, "bodySize", body)) return "bodySize is no number";
+            if (member(response, "content", content) && !numberOf(content, "size", size))
+                return "size is no number";
+            (void)textOf(response, "_error", error);
         }
-        if (status_ > 599 || (status_ > 0 && status_ < 100) || status_ != std::floor(status_)) {
+        if (status > 599 || (status > 0 && status < 100) || status != std::floor(status)) {
             return "the status is out of range";
         }
-        if (time_ > kLongestMs || !std::isfinite(time_)) return "time is out of range";
-        blocked_ =
-            error_.find("BLOCKED") != std::string::npos || error_.find("CACHE_MISS") != std::string::npos;
-        record_ = {};
-        record_.at = stamp->at;
-        record_.grain = stamp->grain;
-        const double took = time_ >= 0 ? time_ : timings_ > 0 ? timings_ : -1;
-        record_.took = took < 0 ? -1 : std::llround(took * 1000);
-        answer();
-        return {};
-    }
-    void answer() {
-        auto& a = record_.answer;
+        const auto says = [&](const char* word) { return error.find(word) != std::string_view::npos; };
+        blocked = says("BLOCKED") || says("CACHE_MISS");
         // -1 is what the format says for a size that is not known.
-        const double size = bodySize_ >= 0 ? bodySize_ : contentSize_;
-        a.bytes = size < 0 || size > 1e15 ? -1 : static_cast<std::int64_t>(size);
-        a.status = status_ > 0 ? static_cast<int>(status_) : 0;
+        const double bytes = body >= 0 ? body : size;
+        auto& a = record.answer;
+        a.bytes = bytes < 0 || bytes > 1e15 ? -1 : static_cast<std::int64_t>(bytes);
+        a.status = status > 0 ? static_cast<int>(status) : 0;
         if (a.status > 0) {
-            a.ended = attempts::Ended::answered;
-            if (error_.find("ABORTED") != std::string::npos) a.ended = attempts::Ended::aborted;
-            return;
+            a.ended = says("ABORTED") ? attempts::Ended::aborted : attempts::Ended::answered;
+        } else {
+            a.ended = says("REFUSED") || says("NAME_NOT_RESOLVED") || says("ADDRESS_UNREACHABLE")
+                          ? attempts::Ended::neverSent
+                      : says("TIMED_OUT")                                         ? attempts::Ended::timedOut
+                      : says("ABORTED")                                           ? attempts::Ended::aborted
+                      : says("RESET") || says("CLOSED") || says("EMPTY_RESPONSE") ? attempts::Ended::cut
+                                                                                  : attempts::Ended::notTold;
         }
-        const auto says = [&](const char* word) { return error_.find(word) != std::string::npos; };
-        a.ended = says("REFUSED") || says("NAME_NOT_RESOLVED") || says("ADDRESS_UNREACHABLE")
-                      ? attempts::Ended::neverSent
-                  : says("TIMED_OUT")                                         ? attempts::Ended::timedOut
-                  : says("ABORTED")                                           ? attempts::Ended::aborted
-                  : says("RESET") || says("CLOSED") || says("EMPTY_RESPONSE") ? attempts::Ended::cut
-                                                                              : attempts::Ended::notTold;
+        return {};
     }
-    // The strings of an entry that waits to be told.
-    void keep() {
-        kept_ = {method_, url_, client_, headers_};
-        std::string_view host, target;
-        if (splitUrl(kept_.url, host, target)) {
-            record_.host = host;
-            record_.target = target;
-        }
-        record_.method = kept_.method;
-        record_.client = kept_.client;
-        record_.headers.clear();
-        for (const auto& [name, value] : kept_.headers) {
-            record_.headers.emplace_back(name, value);
-            if (name == "x-request-id") record_.requestId = value;
+    // `ssl` is within `connect`; -1 stands for what does not apply.
+    static double sumOf(element timings) {
+        double out = 0, part = -1;
+        for (const char* name : {"blocked", "dns", "connect", "send", "wait", "receive"}) {
+            if (numberOf(timings, name, part) && part > 0) out += part;
         }
-    }
-    void flush() {
-        if (!pending_) return;
-        pending_ = false;
-        if (!pendingBad_.empty())
-            sink_.bad(last_, pendingBad_, kept_.url);
-        else if (blocked_)
-            sink_.leftOut(last_, LeftOut::blocked);
-        else
-            sink_.entry(last_, record_);
-        blocked_ = false;
+        return out > 0 && out <= kLongestMs ? out : -1;
     }
 
-    struct Kept {
-        std::string method, url, client;
-        std::vector<std::pair<std::string, std::string>> headers;
-    };
-    const Characters::State& state_;
-    const std::uint32_t file_;
-    Sink& sink_;
-    HarCounts counts_;
-    std::string kinds_;
-    std::vector<std::string> keys_;
-    std::string path_;
-    bool inEntry_ = false, sawEntries_ = false, broken_ = false, blocked_ = false, pending_ = false;
-    std::size_t entryDepth_ = 0;
-    std::uint64_t told_ = 0;
-    Place last_;
-    std::string pendingBad_;
-    Record record_;
-    Kept kept_;
-    std::string started_, method_, url_, error_, client_, wrong_, headerName_, headerValue_;
-    std::vector<std::pair<std::string, std::string>> headers_;
-    double time_ = -1, status_ = -1, bodySize_ = -1, contentSize_ = -1, timings_ = 0;
+    simdjson::dom::parser parser_;
+    std::string_view url_;
+    std::vector<std::string> names_;
 };
 
 }  // namespace
 
 HarCounts readHar(ByteSource& source, std::uint32_t file, Sink& sink) {
-    Characters::State state(source);
-    Har har(state, file, sink);
-    const bool whole = nlohmann::json::sax_parse(Characters(state), Characters(), &har);
-    // What the parser has not looked at is counted too.
-    while (!state.ended) state.step();
-    return har.finish(whole);
+    Scanner scanner(source);
+    Scanner::Found found;
+    HarEntry reader;
+    HarCounts out;
+    // An entry is told when the next has come, so that what stands between them has its place too.
+    Place place{file, 0, 0, 0, 0};
+    bool pending = false;
+    std::string text;
+    bool tooLarge = false;
+    const auto tell = [&] {
+        if (!pending) return;
+        pending = false;
+        if (tooLarge) return sink.bad(place, "the entry is larger than 4 MiB, with its strings cut", {});
+        Record record;
+        bool blocked = false;
+        const std::string_view wrong = reader.read(text, record, blocked);
+        if (!wrong.empty()) return sink.bad(place, wrong, reader.url());
+        if (blocked) return sink.leftOut(place, LeftOut::blocked);
+        sink.entry(place, record);
+    };
+    while (scanner.next(found)) {
+        tell();
+        place = {file, place.offset + place.bytes, found.bytes, ++out.entries, 0};
+        text.swap(found.text);
+        tooLarge = found.tooLarge;
+        pending = true;
+    }
+    const std::uint64_t rest = scanner.finish();
+    out.pages = scanner.pages();
+    if (scanner.whole() && out.entries > 0) {
+        place.bytes += rest;  // the file's end belongs to its last entry
+        tell();
+    } else {
+        tell();
+        place = {file, place.offset + place.bytes, rest, ++out.entries, 0};
+        sink.bad(place,
+                 !scanner.error().empty() ? std::string_view(scanner.error())
+                 : !scanner.whole()       ? "the JSON breaks off or is wrong from here on"
+                 : scanner.sawEntries()   ? "there are no entries"
+                                          : "there is no log with entries",
+                 {});
+    }
+    out.bytes = scanner.taken();
+    return out;
 }
 
 }  // namespace marldale::sources
--- a/src/sources/log_format.cpp
+++ b/src/sources/log_format.cpp
@@ -245,18 +245,18 @@
         case Field::time:
         case Field::isoTime:
         case Field::epoch: {
-            if (lastTime_ != field) {
+            if (part.lastText != field) {
                 const auto stamp = part.field == Field::time      ? readClfTime(field, assumedOffset_)
                                    : part.field == Field::isoTime ? readIsoTime(field, assumedOffset_)
                                                                   : readEpoch(field);
                 if (!stamp) return "this is no time";
-                lastTime_.assign(field);
-                lastStamp_ = *stamp;
+                part.lastText.assign(field);
+                part.lastStamp = *stamp;
             }
             // The finest of several stamps counts.
-            if (record.grain != 0 && record.grain <= lastStamp_.grain) return {};
-            record.at = lastStamp_.at;
-            record.grain = lastStamp_.grain;
+            if (record.grain != 0 && record.grain <= part.lastStamp.grain) return {};
+            record.at = part.lastStamp.at;
+            record.grain = part.lastStamp.grain;
             return {};
         }
         case Field::epochMillis: {
--- a/src/sources/log_format.h
+++ b/src/sources/log_format.h
@@ -62,6 +62,9 @@
         Field field = Field::skip;
         bool quoted = false;  // it stands between quotes, in which a backslash escapes
         std::string literal;  // that follows
+        // Of a time: neighbouring lines mostly have the same.
+        mutable std::string lastText;
+        mutable Stamp lastStamp;
     };
     struct Names;
     [[nodiscard]] static std::optional<Field> nginx(std::string_view name);
@@ -69,7 +72,7 @@
     [[nodiscard]] bool compileNginx(std::string_view format, std::string& wrong);
     [[nodiscard]] bool compileApache(std::string_view format, std::string& wrong);
     [[nodiscard]] bool finish(std::string& wrong);
-    void add(Field field) { parts_.push_back({field, false, {}}); }
+    void add(Field field) { parts_.emplace_back().field = field; }
     void literal(char c) { (parts_.empty() ? prefix_ : parts_.back().literal) += c; }
     [[nodiscard]] std::string_view take(const Part& part, std::string_view field, Record& record) const;
 
@@ -78,8 +81,6 @@
     Blind blind_;
     int assumedOffset_ = 0;
     bool startStamp_ = false;  // Apache's %t is the start
-    mutable std::string lastTime_;
-    mutable Stamp lastStamp_;
 };
 
 }  // namespace marldale::sources
