--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -31,7 +31,7 @@
 # The replayer: its plan does no I/O.
 find_package(Boost REQUIRED)
 add_library(marldale_replay STATIC
-  src/replay/engine.cpp src/replay/journal_file.cpp src/replay/plan.cpp src/replay/results.cpp src/trace/statistics.cpp)
+  src/replay/engine.cpp src/replay/journal_file.cpp src/replay/journal_thread.cpp src/replay/plan.cpp src/replay/results.cpp src/trace/statistics.cpp)
 target_link_libraries(marldale_replay PUBLIC marldale_trace_files marldale_transport Boost::headers
   PRIVATE nlohmann_json::nlohmann_json)
 
--- a/src/replay/engine.cpp
+++ b/src/replay/engine.cpp
@@ -69,14 +69,18 @@
       settings_(std::move(settings)),
       plan_(plan),
       results_(results),
-      journal_(journal),
+      file_(journal),
       progress_(std::move(progress)),
       wake_(loop, [this] { pump(); }),
       tick_(loop, [this] { tick(); }),
       drain_(loop, [this] {
           over_ = true;
           loop_.stop();
-      }) {}
+      }) {
+    if (file_ != nullptr) {
+        journal_.emplace(loop_, *file_, [this](const std::string& why) { fail(why); });
+    }
+}
 
 Engine::~Engine() {
     // Their callbacks find nothing any more.
@@ -99,10 +103,11 @@
     loop_.run();
     summary_.took = steadyNow() - begin_;
     if (!error_.empty()) throw std::runtime_error(error_);
-    if (journal_ != nullptr) {
+    if (journal_) {
+        journal_.reset();  // all of it is written
         std::vector<JournalRecord> last = {{JournalRecord::Kind::reached, {}, plan_.settledBefore(), 0, 0}};
         if (!summary_.stopped) last.push_back({JournalRecord::Kind::finished, {}, 0, 0, 0});
-        journal_->append(last, true);
+        file_->append(last, true);
     }
     return summary_;
 }
@@ -122,25 +127,35 @@
     loop_.stop();
 }
 
+// Nothing of what waits has gone, and nothing will.
+void Engine::fail(const std::string& why) {
+    if (error_.empty()) error_ = why;
+    over_ = true;
+    loop_.stop();
+}
+
 void Engine::pump() {
     if (over_) return;
     const Micros now = steadyNow();
-    std::vector<Send> sends = plan_.due(now);
-    try {
-        std::vector<JournalRecord> begun;
-        for (const Send& s : sends) {
-            if (!s.hasEffect) continue;
-            if (journal_ == nullptr) throw std::runtime_error("classes with effects need a journal");
-            begun.push_back({JournalRecord::Kind::begun, {}, s.intent, s.kin, s.entry.at});
+    std::vector<Send> sends = plan_.due(now), once;
+    std::vector<JournalRecord> begun;
+    for (Send& s : sends) {
+        if (!s.hasEffect) {
+            send(std::move(s), steadyNow());
+            continue;
         }
-        if (journal_ != nullptr) journal_->append(begun, true);
-    } catch (const std::exception& e) {
-        // Nothing of this turn has gone, and nothing will.
-        error_ = e.what();
-        over_ = true;
-        return loop_.stop();
+        begun.push_back({JournalRecord::Kind::begun, {}, s.intent, s.kin, s.entry.at});
+        once.push_back(std::move(s));
+    }
+    if (!once.empty()) {
+        if (!journal_) return fail("classes with effects need a journal");
+        // Only what stands in the journal may go.
+        journal_->append(std::move(begun), [this, once = std::move(once)]() mutable {
+            for (Send& s : once) {
+                if (!over_) send(std::move(s), steadyNow());
+            }
+        });
     }
-    for (Send& s : sends) send(std::move(s), steadyNow());
     finishIfDone();
     const Micros after = steadyNow();
     const auto next = plan_.wakeAt(after);
@@ -186,9 +201,9 @@
     results_.sent(send, now);
     if (!method) {  // nothing goes out, and that is known
         const Answer never{Ended::neverSent, 0, -1};
-        if (journal_ != nullptr && send.hasEffect) {
+        if (journal_ && send.hasEffect) {
             journal_->append({{JournalRecord::Kind::ended, attempts::Effect::notDone, send.intent, 0, 0}},
-                             false);
+                             nullptr);
         }
         results_.answered(send, never, now, now);
         return plan_.answered(send, never, std::nullopt, now);
@@ -249,15 +264,9 @@
     if (over_) return;
     results_.answered(send, answer, sentAt, now);
     plan_.answered(send, answer, retryAfter, now);
-    try {
-        if (journal_ != nullptr && send.hasEffect) {
-            journal_->append(
-                {{JournalRecord::Kind::ended, attempts::effectOf(answer, true), send.intent, 0, 0}}, false);
-        }
-    } catch (const std::exception& e) {
-        error_ = e.what();
-        over_ = true;
-        return loop_.stop();
+    if (journal_ && send.hasEffect) {
+        const attempts::Effect live = attempts::effectOf(answer, true);
+        journal_->append({{JournalRecord::Kind::ended, live, send.intent, 0, 0}}, nullptr);
     }
     if (summary_.bytes > settings_.bytesMost) stop("the limit on bytes of replies");
     // Not at once: the connection is still in its callback, and what waits goes with the next turn.
@@ -269,15 +278,9 @@
     const Micros now = steadyNow();
     if (now - begin_ > settings_.durationMost) stop("the limit on its duration");
     const std::uint64_t reached = plan_.settledBefore();
-    if (journal_ != nullptr && reached != journaledReach_) {
+    if (journal_ && reached != journaledReach_) {
         journaledReach_ = reached;
-        try {
-            journal_->append({{JournalRecord::Kind::reached, {}, reached, 0, 0}}, false);
-        } catch (const std::exception& e) {
-            error_ = e.what();
-            over_ = true;
-            return loop_.stop();
-        }
+        journal_->append({{JournalRecord::Kind::reached, {}, reached, 0, 0}}, nullptr);
     }
     if (progress_) {
         std::uint64_t sent = 0, failed = 0;
--- a/src/replay/engine.h
+++ b/src/replay/engine.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "replay/journal_file.h"
+#include "replay/journal_thread.h"
 #include "replay/results.h"
 #include "transport/address.h"
 #include "transport/loop.h"
@@ -44,6 +44,7 @@
     struct Connection;
     struct Request;
 
+    void fail(const std::string& why);
     void pump();
     void send(Send send, Micros now);
     [[nodiscard]] Connection& connectionFor(const Send& send);
@@ -56,7 +57,8 @@
     const EngineSettings settings_;
     Plan& plan_;
     Results& results_;
-    JournalFile* const journal_;
+    JournalFile* const file_;
+    std::optional<JournalThread> journal_;
     const std::function<void(const std::string&)> progress_;
     transport::Timer wake_, tick_, drain_;
     std::vector<std::unique_ptr<Connection>> connections_;
--- a/src/replay/journal_file.cpp
+++ b/src/replay/journal_file.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -34,6 +35,8 @@
     : path_(path), sync_(sync), fd_(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0600)) {
     if (fd_ < 0) failed("can't open the journal " + path);
     try {
+        struct stat s {};
+        if (fstat(fd_, &s) != 0 || !S_ISREG(s.st_mode)) throw std::runtime_error(path + " is no plain file");
         if (flock(fd_, LOCK_EX | LOCK_NB) != 0)
             throw std::runtime_error("another replay holds the journal " + path);
         read_ = attempts::readJournal(whole(fd_, path));
