--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test demo measure-grpc measure-replay sanitize tsan lint format run clean
+.PHONY: packages build test demo measure-grpc measure-replay demo-replay fuzz sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
@@ -22,6 +22,12 @@
 	$(BUILD) build/demo -j4
 	build/demo/bench/marldale_demo
 
+# From a log to a replay.
+demo-replay: packages
+	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
+	$(BUILD) build/demo -j4
+	example/replay.sh build/demo
+
 # The promises of the gRPC front, played and counted; ends with 1 where one breaks.
 measure-grpc: packages
 	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
@@ -40,13 +46,20 @@
 	$(BUILD) build/sanitize -j4
 	ctest --test-dir build/sanitize --output-on-failure -j4
 
+# Every reader of bytes under libFuzzer, a bounded number of runs; RUNS=1000000 for a long look.
+fuzz: packages
+	cmake -B build/fuzz -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	  -DMARLDALE_FUZZ=ON -DMARLDALE_GRPC=OFF
+	$(BUILD) build/fuzz -j4 --target fuzz_format fuzz_har fuzz_journal fuzz_json fuzz_log fuzz_rules fuzz_stamp fuzz_trace
+	fuzz/run build/fuzz
+
 # What crosses threads: the queue, the module's thread, the gRPC front.
 tsan:
 	cmake -B build/tsan -DCMAKE_BUILD_TYPE=Debug -DMARLDALE_TESTS=ON -DMARLDALE_WERROR=ON -DMARLDALE_TSAN=ON
-	$(BUILD) build/tsan -j4 --target routing_test grpc_hard_test grpc_thread_test
+	$(BUILD) build/tsan -j4 --target routing_test grpc_hard_test grpc_thread_test engine_test
 	ctest --test-dir build/tsan --output-on-failure -R '^(Queue|PlannerThreadTest)\.'
 	TSAN_OPTIONS="ignore_noninstrumented_modules=1 suppressions=$(CURDIR)/tests/tsan.supp" \
-	ctest --test-dir build/tsan --output-on-failure -j4 -R '^Grpc(Thread|Hard|Crowd|End)\.'
+	ctest --test-dir build/tsan --output-on-failure -j4 -R '^(Grpc(Thread|Hard|Crowd|End)|EngineTest)\.'
 
 SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.h' 'tests/*.cpp' 'tests/*.h' 'example/*.cpp' \
 	'bench/*.cpp' 'bench/*.h' 'clients/*.cpp' 'clients/*.h')
--- a/bench/standin/http_box.cpp
+++ b/bench/standin/http_box.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <utility>
 
 namespace marldale::standin {
 namespace {
@@ -19,14 +20,13 @@
         .count();
 }
 
-// An answer that waits.
-struct Later {
-    evhttp_request* request;
+}  // namespace
+
+struct HttpBox::Later {
     Manner manner;
+    transport::Timer due;
 };
 
-}  // namespace
-
 void HttpBox::Free::operator()(evhttp* h) const { evhttp_free(h); }
 
 HttpBox::HttpBox(std::function<Manner(const Arrived&)> manner) : manner_(std::move(manner)) {
@@ -45,7 +45,10 @@
 }
 
 HttpBox::~HttpBox() {
-    thread_.run([this] { http_.reset(); });
+    thread_.run([this] {
+        for (auto& [request, later] : std::exchange(later_, {})) answer(request, later->manner);
+        http_.reset();
+    });
 }
 
 void HttpBox::serve(evhttp_request* request) {
@@ -60,14 +63,13 @@
         arrived_.push_back(a);
     });
     if (manner.delayMs == 0) return answer(request, manner);
-    const timeval wait{manner.delayMs / 1000, manner.delayMs % 1000 * 1000};
-    event_base_once(
-        thread_.loop().base(), -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* arg) {
-            const std::unique_ptr<Later> later(static_cast<Later*>(arg));
-            answer(later->request, later->manner);
-        },
-        new Later{request, manner}, &wait);
+    auto& later = later_[request];
+    later.reset(new Later{manner, transport::Timer(thread_.loop(), [this, request] {
+                              auto waited = std::move(later_.extract(request).mapped());
+                              answer(request, waited->manner);
+                              thread_.loop().bury(std::move(waited));
+                          })});
+    later->due.after(transport::Millis{manner.delayMs});
 }
 
 void HttpBox::answer(evhttp_request* request, const Manner& manner) {
--- a/bench/standin/http_box.h
+++ b/bench/standin/http_box.h
@@ -49,6 +49,7 @@
     };
     void serve(evhttp_request* request);
     static void answer(evhttp_request* request, const Manner& manner);
+    struct Later;
 
     const std::function<Manner(const Arrived&)> manner_;
     Watch watch_;
@@ -57,6 +58,7 @@
     std::uint16_t port_ = 0;
     LoopThread thread_;
     std::unique_ptr<evhttp, Free> http_;
+    std::map<evhttp_request*, std::unique_ptr<Later>> later_;  // answers that wait
 };
 
 }  // namespace marldale::standin
--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -31,10 +31,10 @@
 # The replayer: its plan does no I/O.
 find_package(Boost REQUIRED)
 add_library(marldale_replay STATIC
-  src/replay/engine.cpp src/replay/journal_file.cpp src/replay/journal_thread.cpp src/replay/plan.cpp src/replay/results.cpp src/trace/statistics.cpp)
+  src/replay/engine.cpp src/replay/journal_file.cpp src/replay/journal_thread.cpp src/replay/plan.cpp src/replay/rehearsal.cpp src/replay/results.cpp src/trace/statistics.cpp)
 target_link_libraries(marldale_replay PUBLIC marldale_trace_files marldale_transport Boost::headers
   PRIVATE nlohmann_json::nlohmann_json)
 
 add_executable(marldale_trace src/trace_program/commands.cpp src/trace_program/main.cpp)
-target_link_libraries(marldale_trace PRIVATE marldale_sources marldale_replay marldale_chart nlohmann_json::nlohmann_json
+target_link_libraries(marldale_trace PRIVATE marldale_protocol marldale_sources marldale_replay marldale_chart nlohmann_json::nlohmann_json
   CLI11::CLI11)
--- /dev/null
+++ b/fuzz/fuzz.cpp
@@ -0,0 +1,131 @@
+// Fuzzing of every reader of bytes (libFuzzer). FUZZ_NAME picks one; CMakeLists.txt makes a program for each.
+// Each checks that what it reads is accounted for, beyond not crashing.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "attempts/gate.h"
+#include "attempts/journal.h"
+#include "sources/import_settings.h"
+#include "sources/readers.h"
+#include "trace/format.h"
+
+namespace {
+
+using namespace marldale;  // a program of its own
+
+void must(bool holds) {
+    if (!holds) std::abort();
+}
+
+struct Counting : sources::Sink {
+    std::uint64_t bytes = 0;
+    void entry(const sources::Place& place, const sources::Record& record) override {
+        bytes += place.bytes;
+        must(!record.method.empty() && record.answer.status >= 0 && record.answer.status <= 599);
+        must(record.took >= -1 && record.answer.bytes >= -1);
+    }
+    void bad(const sources::Place& place, std::string_view why, std::string_view excerpt) override {
+        bytes += place.bytes;
+        must(!why.empty());
+        for (const char c : sources::harmless(excerpt, place.column)) must(c >= 0x20 && c < 0x7f);
+    }
+    void leftOut(const sources::Place& place, sources::LeftOut) override { bytes += place.bytes; }
+};
+
+// Bytes that are taken for packed are another stream.
+bool isPacked(std::string_view bytes) {
+    return bytes.starts_with("\x1f\x8b") || bytes.starts_with("\x28\xb5\x2f\xfd");
+}
+
+[[maybe_unused]] void lines(std::string_view bytes, std::unique_ptr<sources::LineFormat> format) {
+    auto source = sources::sourceOf(std::string(bytes));
+    Counting sink;
+    try {
+        sources::LineReader(*source, *format, 0).read(sink);
+    } catch (const sources::SourceError&) {
+        must(isPacked(bytes));
+        return;
+    }
+    must(isPacked(bytes) || sink.bytes == bytes.size());
+}
+
+[[maybe_unused]] std::unique_ptr<sources::LineFormat> formatOf(std::string_view text) {
+    std::string wrong;
+    auto format = sources::LogFormat::compile(text, wrong);
+    must(format.has_value() == wrong.empty());
+    return format ? sources::byFormat(std::move(*format)) : nullptr;
+}
+
+[[maybe_unused]] void har(std::string_view bytes) {
+    auto source = sources::sourceOf(std::string(bytes));
+    Counting sink;
+    const sources::HarCounts counts = sources::readHar(*source, 0, sink);
+    must(counts.bytes == sink.bytes);
+    must(isPacked(bytes) || counts.bytes == bytes.size());
+}
+
+[[maybe_unused]] void traces(std::string_view bytes) {
+    std::string wrong;
+    const std::size_t fixed = std::min(bytes.size(), trace::kHeadFixed);
+    (void)trace::decodeHead(bytes.substr(0, fixed), bytes.substr(fixed), wrong);
+    std::vector<trace::Entry> entries;
+    if (trace::decodeEntries(bytes, 64, 2, entries)) {
+        const std::string again = trace::encodeBlock(entries);
+        const auto back =
+            trace::decodeBlock(again.substr(0, trace::kBlockHead), again.substr(trace::kBlockHead), 2);
+        must(back && *back == entries);
+    }
+    if (bytes.size() > trace::kBlockHead) {
+        (void)trace::decodeBlock(bytes.substr(0, trace::kBlockHead), bytes.substr(trace::kBlockHead), 2);
+    }
+}
+
+[[maybe_unused]] void journal(std::string_view bytes) {
+    const attempts::JournalRead read = attempts::readJournal(bytes);
+    must(read.whole == read.records.size() * attempts::kJournalRecord && read.whole <= bytes.size());
+    must(read.torn || read.damaged || read.whole == bytes.size());
+    attempts::EffectLedger ledger({});
+    (void)attempts::recall(read.records, ledger);
+    must(ledger.counts().open == 0);
+}
+
+[[maybe_unused]] void rules(std::string_view bytes) {
+    std::vector<settings::Problem> problems;
+    sources::ImportSettings into;
+    sources::importSchema(into).take("f", settings::readIni("f", bytes, problems), problems);
+    sources::Record record;
+    record.target = "/a/b";
+    must(into.rules.classOf(record) <= into.rules.classes.size());
+}
+
+[[maybe_unused]] void stamps(std::string_view bytes) {
+    if (const auto stamp = sources::readAnyTime(bytes)) {
+        char text[40];
+        const auto back = sources::readIsoTime(sources::shown(stamp->at, text));
+        must(back && back->at == stamp->at);
+    }
+    const auto wait = attempts::readRetryAfter(bytes, 0);
+    must(!wait || (*wait >= 0 && *wait <= 3600 * 1000000LL));
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    const std::string_view which = FUZZ_NAME;
+    if (which == "log") lines(bytes, formatOf("combined"));
+    if (which == "json") lines(bytes, sources::byJson({}));
+    if (which == "har") har(bytes);
+    if (which == "trace") traces(bytes);
+    if (which == "journal") journal(bytes);
+    if (which == "rules") rules(bytes);
+    if (which == "stamp") stamps(bytes);
+    if (which == "format") {  // a format in the first line, and lines to be read by it
+        const auto end = std::min(bytes.find('\n'), bytes.size());
+        if (auto format = formatOf(bytes.substr(0, end)))
+            lines(bytes.substr(std::min(end + 1, bytes.size())), std::move(format));
+    }
+    return 0;
+}
--- a/src/trace_program/commands.cpp
+++ b/src/trace_program/commands.cpp
@@ -14,8 +14,11 @@
 #include <thread>
 
 #include "chart/chart.h"
+#include "protocol/frames.h"
+#include "replay/rehearsal.h"
 #include "sources/importer.h"
 #include "trace/statistics.h"
+#include "transport/connection.h"
 
 namespace marldale::trace_program {
 namespace {
@@ -440,7 +443,116 @@
 
 }  // namespace
 
+namespace {
+
+// A box a line: its uid and its zone.
+std::vector<std::pair<std::string, std::string>> boxesOf(const std::string& path) {
+    std::ifstream in(path);
+    if (!in) throw std::runtime_error("can't open " + path);
+    std::vector<std::pair<std::string, std::string>> out;
+    std::string uid, zone;
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream words(line);
+        if (!(words >> uid) || uid.starts_with('#')) continue;
+        if (!(words >> zone))
+            throw std::runtime_error(path + ": a line is `UID ZONE`: " + line.substr(0, 60));
+        out.emplace_back(uid, zone);
+    }
+    return out;
+}
+
+// The zones' collectors, one connection each.
+class Collectors {
+public:
+    Collectors(transport::Loop& loop, const transport::Address& planner,
+               const std::vector<std::string>& zones) {
+        for (const std::string& zone : zones) {
+            transport::Connection::Handlers handlers;
+            handlers.received = [](std::string_view) {};
+            handlers.ended = [this, zone](transport::Ended how) {
+                broken = zone + ": the planner's connection " + transport::name(how);
+            };
+            auto& c = byZone_[zone] = std::make_unique<transport::Connection>(
+                loop, planner, transport::Millis{2000}, std::size_t{8} << 20U, std::move(handlers));
+            (void)c->write(protocol::frame(nlohmann::json{{"type", "agent"}, {"site", zone}}.dump()));
+        }
+    }
+    void tell(const replay::Rehearsal::Message& message) {
+        if (!byZone_.at(message.zone)->write(protocol::frame(message.json)) && broken.empty()) {
+            broken = message.zone + ": the planner does not read";
+        }
+    }
+    void close() {
+        for (auto& [zone, c] : byZone_) c->close();
+    }
+    std::string broken;
+
+private:
+    std::map<std::string, std::unique_ptr<transport::Connection>> byZone_;
+};
+
+// The trace as a planner's collectors tell it, at the speed asked for.
+int rehearse(const ReplayAsked& asked) {
+    trace::Reader reader(asked.trace);
+    const auto planner = transport::parseAddress(asked.planner);
+    if (!planner) throw std::runtime_error(asked.planner + " is no address, as 127.0.0.1:5000");
+    const std::set<std::string> allowed(asked.allow.begin(), asked.allow.end());
+    if (!isLoopback(planner->host) && allowed.count(asked.planner) == 0) {
+        throw std::runtime_error(asked.planner +
+                                 " is not loopback: name it with --allow too, if it is yours to load");
+    }
+    replay::RehearsalSettings settings;
+    for (const auto& c : reader.head().classes) settings.classes.push_back(c.name);
+    settings.zones = asked.plannerZones;
+    settings.boxes = boxesOf(asked.plannerBoxes);
+    settings.relays = asked.plannerRelays;
+    settings.every = static_cast<Micros>(asked.plannerEveryS * 1e6);
+    replay::Rehearsal rehearsal(settings);
+    transport::Loop loop;
+    Collectors collectors(loop, *planner, settings.zones);
+    std::uint64_t entries = 0, messages = 0;
+    trace::Entry entry;
+    bool has = reader.next(entry), over = !has;
+    const Micros first = entry.at;
+    const auto start = std::chrono::steady_clock::now();
+    std::string stopped;
+    std::optional<transport::Timer> timer;
+    const auto tell = [&](const std::vector<replay::Rehearsal::Message>& all) {
+        for (const auto& m : all) collectors.tell(m);
+        messages += all.size();
+    };
+    timer.emplace(loop, [&] {
+        const auto now =
+            std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - start)
+                .count();
+        const Micros reached =
+            first + static_cast<Micros>(static_cast<double>(now) * asked.plan.schedule.speed);
+        while (has && entry.at <= reached) {
+            tell(rehearsal.add(entry));
+            ++entries;
+            has = reader.next(entry);
+        }
+        if (!has && !over) tell(rehearsal.finish());
+        if (over || !collectors.broken.empty() || !stopped.empty()) return loop.stop();
+        over = !has;
+        timer->after(transport::Millis{over ? 200 : 5});  // what was written last is on its way
+    });
+    const transport::Signal interrupt(loop, SIGINT, [&] { stopped = "SIGINT"; });
+    const transport::Signal terminate(loop, SIGTERM, [&] { stopped = "SIGTERM"; });
+    timer->after(transport::Millis{0});
+    loop.run();
+    collectors.close();
+    std::printf("%llu entries told in %llu messages\n", ull(entries), ull(messages));
+    if (!collectors.broken.empty()) throw std::runtime_error(collectors.broken);
+    return stopped.empty() ? kRight : kStopped;
+}
+
+}  // namespace
+
 int replayCommand(ReplayAsked asked) {
+    if (!asked.planner.empty()) return rehearse(asked);
+    if (asked.targets.empty())
+        throw std::runtime_error("name boxes with --target, or a planner with --planner");
     auto reader = std::make_unique<trace::Reader>(asked.trace);
     const trace::Head head = reader->head();
     const Micros first = firstOf(asked.trace);
--- a/src/trace_program/commands.h
+++ b/src/trace_program/commands.h
@@ -69,6 +69,11 @@
     replay::EngineSettings engine;
     double waitS = 10, answerS = 30, durationS = 3600, drainS = 10, loopGapS = 1;
     bool quiet = false;
+    // For a planner in place of boxes.
+    std::string planner, plannerBoxes;
+    std::vector<std::string> plannerZones;
+    std::uint32_t plannerRelays = 10;
+    double plannerEveryS = 2;
 };
 int replayCommand(ReplayAsked asked);
 
--- a/src/trace_program/main.cpp
+++ b/src/trace_program/main.cpp
@@ -93,8 +93,7 @@
     auto asked = std::make_shared<ReplayAsked>();
     auto& a = *asked;
     replay.add_option("trace", a.trace)->required();
-    replay.add_option("--target", a.targets, "A box: ADDRESS:PORT; several: a client stays with one")
-        ->required();
+    replay.add_option("--target", a.targets, "A box: ADDRESS:PORT; several: a client stays with one");
     replay.add_option("--allow", a.allow, "A target that is not loopback, named once more");
     replay.add_option("--journal", a.journal,
                       "What is sent of classes that must not run twice; the same file resumes");
@@ -130,6 +129,14 @@
     replay.add_option("--results", a.results, "JSON file with all figures");
     replay.add_option("--csv", a.csv, "CSV file with each second's figures");
     replay.add_option("--plot", a.plot, "Chart of the rates, .svg or .png");
+    replay.add_option("--planner", a.planner,
+                      "In place of boxes: a planner's address, to which the trace is told as load");
+    replay.add_option("--planner-zones", a.plannerZones, "Its zones")->delimiter(',');
+    replay.add_option("--planner-relays", a.plannerRelays, "Relays that clients are dealt to")
+        ->check(CLI::Range(1, 100000));
+    replay.add_option("--planner-boxes", a.plannerBoxes, "File with a line `UID ZONE` for each box");
+    replay.add_option("--planner-every", a.plannerEveryS, "Seconds between reports")
+        ->check(CLI::Range(0.01, 60.0));
     replay.add_flag("--quiet", a.quiet, "No progress");
     replay.callback([asked, &status] { status = replayCommand(*asked); });
 }
--- a/tests/sources/plan_test.cpp
+++ b/tests/sources/plan_test.cpp
@@ -4,9 +4,11 @@
 #include <rapidcheck/gtest.h>
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "replay/plan.h"
+#include "replay/rehearsal.h"
 
 namespace marldale::replay {
 namespace {
@@ -242,5 +244,48 @@
     for (const auto& [intent, count] : booked) RC_ASSERT(count <= 1);
 }
 
+// ---- Load for a planner ----
+
+RC_GTEST_PROP(RehearsalProperty, EveryEntryIsToldOnce, (std::uint32_t seed)) {
+    std::mt19937_64 random(seed);
+    RehearsalSettings settings;
+    settings.classes = {"image", "reserve"};
+    settings.zones = {"a", "b"};
+    settings.boxes = {{"s-1", "a"}, {"s-2", "b"}, {"s-3", "b"}};
+    settings.relays = 7;
+    Rehearsal rehearsal(settings);
+    std::uint64_t tries = 0, firsts = 0, bad = 0, told = 0, came = 0, failed = 0;
+    const auto take = [&](const std::vector<Rehearsal::Message>& all) {
+        for (const auto& m : all) {
+            const auto row = nlohmann::json::parse(m.json);
+            RC_ASSERT(row["over"].get<double>() > 0);
+            RC_ASSERT(row["over"].get<double>() <= 2000);
+            if (row["type"] == "outcomes") {
+                RC_ASSERT(row["site"] == m.zone);
+                told += row["count"].get<std::uint64_t>();
+                failed += row["fail"].get<std::uint64_t>();
+            } else {
+                RC_ASSERT(row["fail"].get<std::uint64_t>() <= row["count"].get<std::uint64_t>());
+                came += row["count"].get<std::uint64_t>();
+            }
+        }
+    };
+    Micros at = 5 * kSecond;
+    for (int i = 0; i < 400; ++i) {
+        at += static_cast<Micros>(random() % (random() % 50 == 0 ? 100 * kSecond : 100 * kMs));
+        auto e = entryAt(at, 1 + random() % 50, static_cast<std::uint32_t>(random() % 2),
+                         random() % 4 == 0 ? 503 : 200, static_cast<std::uint32_t>(random() % 2));
+        e.took = static_cast<Micros>(random() % kSecond);
+        ++tries;
+        firsts += e.number == 0 ? 1 : 0;
+        bad += e.answer.status == 503 ? 1 : 0;
+        take(rehearsal.add(e));
+    }
+    take(rehearsal.finish());
+    RC_ASSERT(told == tries);
+    RC_ASSERT(came == firsts);
+    RC_ASSERT(failed == bad);
+}
+
 }  // namespace
 }  // namespace marldale::replay
