Knowledge of boxes and SWIM between instances, without I/O; golden imports; more charts

The tests found that a member taken for dead never heard of it and so could not refute, and that who joined late learnt of the others only by chance; both mended.

--- /dev/null
+++ b/src/recovery/codec.cpp
@@ -0,0 +1,179 @@
+#include "recovery/codec.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+#include <zstd.h>
+
+#include <map>
+
+#include "bytes/varint.h"
+
+namespace marldale::recovery {
+namespace {
+
+using bytes::fixedAt;
+using bytes::putFixed;
+using bytes::putText;
+using bytes::putVar;
+using bytes::Reader;
+
+constexpr std::string_view kMagic = "MRLK";
+constexpr std::uint32_t kVersion = 1;
+constexpr std::size_t kHead = 24, kTextMost = 256, kFactsMost = 200000;
+constexpr std::uint64_t kSums = 1, kListed = 2;
+constexpr int kZstdLevel = 3;
+
+// Names, each written once.
+class Names {
+public:
+    std::uint64_t of(const std::string& name) {
+        const auto [at, fresh] = known_.try_emplace(name, known_.size());
+        if (fresh) putText(text_, name);
+        return at->second;
+    }
+    [[nodiscard]] std::string section() const {
+        std::string out;
+        putVar(out, known_.size());
+        return out + text_;
+    }
+
+private:
+    std::map<std::string, std::uint64_t> known_;
+    std::string text_;
+};
+
+void putSection(std::string& out, std::uint64_t kind, const std::string& content) {
+    putVar(out, kind);
+    putText(out, content);
+}
+
+std::string plainOf(const Handover& handover) {
+    Names names;
+    std::string sums, listed;
+    putVar(sums, handover.sums.size());
+    for (const SumFact& f : handover.sums) {
+        for (const std::string* name : {&f.origin, &f.box, &f.zone}) putVar(sums, names.of(*name));
+        putVar(sums, static_cast<std::uint64_t>(f.bootMs));
+        putVar(sums, f.word.incarnation);
+        putVar(sums, f.word.number);
+        putVar(sums, static_cast<std::uint64_t>(f.age));
+        putVar(sums, f.tries);
+        putVar(sums, f.failed);
+        putVar(sums, static_cast<std::uint64_t>(f.mean));
+    }
+    putVar(listed, handover.listed.size());
+    for (const ListedFact& f : handover.listed) {
+        putVar(listed, names.of(f.box));
+        putVar(listed, f.version);
+        putVar(listed, static_cast<std::uint64_t>(f.state));
+        putVar(listed, static_cast<std::uint64_t>(f.bootMs));
+    }
+    std::string out;
+    putText(out, handover.from);
+    putText(out, names.section());
+    putSection(out, kSums, sums);
+    putSection(out, kListed, listed);
+    return out;
+}
+
+bool readNames(std::string_view section, std::vector<std::string>& names) {
+    Reader in(section, kTextMost);
+    const std::uint64_t count = in.var();
+    if (count > section.size()) return false;
+    for (std::uint64_t i = 0; i < count && in.good(); ++i) names.emplace_back(in.text());
+    return in.good() && in.empty();
+}
+
+bool readSums(std::string_view section, const std::vector<std::string>& names, Handover& out) {
+    Reader in(section, kTextMost);
+    const std::uint64_t count = in.var();
+    if (count > kFactsMost) return false;
+    for (std::uint64_t i = 0; i < count && in.good(); ++i) {
+        SumFact f;
+        for (std::string* name : {&f.origin, &f.box, &f.zone}) {
+            const std::uint64_t which = in.var();
+            if (which >= names.size()) return false;
+            *name = names[which];
+        }
+        f.bootMs = static_cast<std::int64_t>(in.var());
+        f.word.incarnation = in.var();
+        f.word.number = in.var();
+        f.age = static_cast<Micros>(in.var());
+        f.tries = static_cast<std::uint32_t>(in.var());
+        f.failed = static_cast<std::uint32_t>(in.var());
+        f.mean = static_cast<Micros>(in.var());
+        if (in.good()) out.sums.push_back(std::move(f));
+    }
+    return in.good() && in.empty();
+}
+
+bool readListed(std::string_view section, const std::vector<std::string>& names, Handover& out) {
+    Reader in(section, kTextMost);
+    const std::uint64_t count = in.var();
+    if (count > kFactsMost) return false;
+    for (std::uint64_t i = 0; i < count && in.good(); ++i) {
+        const std::uint64_t which = in.var();
+        if (which >= names.size()) return false;
+        ListedFact f;
+        f.box = names[which];
+        f.version = in.var();
+        const std::uint64_t state = in.var();
+        f.bootMs = static_cast<std::int64_t>(in.var());
+        // A state of a later version is the most careful one.
+        f.state = state <= 2 ? static_cast<ServerState>(state) : ServerState::gone;
+        if (in.good()) out.listed.push_back(std::move(f));
+    }
+    return in.good() && in.empty();
+}
+
+}  // namespace
+
+bool decodePlain(std::string_view plain, Handover& out) {
+    Reader in(plain, kHandoverMost);
+    out.from = std::string(in.text().substr(0, kTextMost));
+    std::vector<std::string> names;
+    if (!readNames(in.text(), names)) return false;
+    while (in.good() && !in.empty()) {
+        const std::uint64_t kind = in.var();
+        const std::string_view section = in.text();
+        if (kind == kSums && !readSums(section, names, out)) return false;
+        if (kind == kListed && !readListed(section, names, out)) return false;
+    }
+    return in.good();
+}
+
+std::string encode(const Handover& handover) {
+    const std::string plain = plainOf(handover);
+    std::string packed(ZSTD_compressBound(plain.size()), 0);
+    packed.resize(ZSTD_compress(packed.data(), packed.size(), plain.data(), plain.size(), kZstdLevel));
+    std::string out(kMagic);
+    putFixed<std::uint32_t>(out, kVersion);
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(plain.size()));
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(packed.size()));
+    putFixed<std::uint64_t>(out, XXH64(packed.data(), packed.size(), 0));
+    return out + packed;
+}
+
+std::optional<Handover> decode(std::string_view bytes, std::string& wrong) {
+    if (bytes.size() < kHead || !bytes.starts_with(kMagic)) {
+        wrong = "this is no handover of knowledge";
+        return std::nullopt;
+    }
+    const auto plainSize = fixedAt<std::uint32_t>(bytes, 8), packedSize = fixedAt<std::uint32_t>(bytes, 12);
+    const std::string_view packed = bytes.substr(kHead);
+    if (packedSize != packed.size() || plainSize > kHandoverMost || packedSize > kHandoverMost ||
+        XXH64(packed.data(), packed.size(), 0) != fixedAt<std::uint64_t>(bytes, 16)) {
+        wrong = "it is torn or damaged";
+        return std::nullopt;
+    }
+    std::string plain(plainSize, 0);
+    const std::size_t size = ZSTD_decompress(plain.data(), plain.size(), packed.data(), packed.size());
+    Handover out;
+    if (ZSTD_isError(size) != 0 || size != plain.size() || !decodePlain(plain, out)) {
+        wrong = "it can't be read, version " + std::to_string(fixedAt<std::uint32_t>(bytes, 4));
+        return std::nullopt;
+    }
+    return out;
+}
+
+}  // namespace marldale::recovery
--- a/src/sources/har_reader.cpp
+++ b/src/sources/har_reader.cpp
@@ -251,6 +251,7 @@
     // Why it is bad, or nothing. `record` has views that hold until the next.
     std::string_view read(const std::string& text, Record& record, bool& blocked) {
         record = {};
+        url_ = {};
         blocked = false;
         element entry;
         if (parser_.parse(text).get(entry) != simdjson::SUCCESS) return "the entry is no JSON";
--- a/src/trace/format.cpp
+++ b/src/trace/format.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
+#include "bytes/varint.h"
+
 namespace marldale::trace {
 namespace {
 
@@ -18,78 +20,11 @@
 constexpr int kZstdLevel = 3;
 constexpr std::size_t kStringMost = std::size_t{64} << 10U;
 
-template <class T>
-void put(std::string& out, T value) {
-    for (std::size_t i = 0; i < sizeof(T); ++i)
-        out += static_cast<char>(static_cast<std::uint64_t>(value) >> (8 * i));
-}
-template <class T>
-T get(std::string_view bytes, std::size_t at) {
-    std::uint64_t out = 0;
-    for (std::size_t i = 0; i < sizeof(T); ++i) {
-        out |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[at + i])) << (8 * i);
-    }
-    return static_cast<T>(out);
-}
-
-// Seven bits a byte, least significant first.
-void putVar(std::string& out, std::uint64_t value) {
-    while (value >= 0x80) {
-        out += static_cast<char>(value | 0x80U);
-        value >>= 7U;
-    }
-    out += static_cast<char>(value);
-}
-// Small for small figures of either sign.
-std::uint64_t folded(std::int64_t value) {
-    return (static_cast<std::uint64_t>(value) << 1U) ^ static_cast<std::uint64_t>(value >> 63);
-}
-std::int64_t unfolded(std::uint64_t value) {
-    return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
-}
-
-class Reader {
-public:
-    explicit Reader(std::string_view bytes) : rest_(bytes) {}
-    std::uint64_t var() {
-        std::uint64_t out = 0;
-        for (unsigned shift = 0; shift < 64; shift += 7) {
-            if (rest_.empty()) return fail();
-            const auto byte = static_cast<unsigned char>(rest_.front());
-            rest_.remove_prefix(1);
-            out |= static_cast<std::uint64_t>(byte & 0x7fU) << shift;
-            if (byte < 0x80) return out;
-        }
-        return fail();
-    }
-    std::uint64_t fixed() {
-        if (rest_.size() < 8) return fail();
-        const auto out = get<std::uint64_t>(rest_, 0);
-        rest_.remove_prefix(8);
-        return out;
-    }
-    std::string_view text() {
-        const std::uint64_t size = var();
-        if (size > rest_.size() || size > kStringMost) {
-            fail();
-            return {};
-        }
-        const auto out = rest_.substr(0, size);
-        rest_.remove_prefix(size);
-        return out;
-    }
-    [[nodiscard]] bool good() const { return good_; }
-    [[nodiscard]] bool empty() const { return rest_.empty(); }
-    std::uint64_t fail() {
-        good_ = false;
-        rest_ = {};
-        return 0;
-    }
-
-private:
-    std::string_view rest_;
-    bool good_ = true;
-};
+using bytes::fixedAt;
+using bytes::folded;
+using bytes::putFixed;
+using bytes::putVar;
+using bytes::unfolded;
 
 // Strings of a block, each written once.
 class Strings {
@@ -123,9 +58,9 @@
         json["classes"].push_back({{"name", c.name}, {"effect", c.hasEffect}});
     const std::string text = json.dump(-1, ' ', false, Json::error_handler_t::replace);
     std::string out(kMagic);
-    put<std::uint32_t>(out, kVersion);
-    put<std::uint32_t>(out, static_cast<std::uint32_t>(text.size()));
-    put<std::uint64_t>(out, XXH64(text.data(), text.size(), 0));
+    putFixed<std::uint32_t>(out, kVersion);
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(text.size()));
+    putFixed<std::uint64_t>(out, XXH64(text.data(), text.size(), 0));
     return out + text;
 }
 
@@ -134,11 +69,11 @@
         wrong = "this is no trace";
         return std::nullopt;
     }
-    if (const auto version = get<std::uint32_t>(fixed, 8); version != kVersion) {
+    if (const auto version = fixedAt<std::uint32_t>(fixed, 8); version != kVersion) {
         wrong = "this trace has version " + std::to_string(version) + "; this program reads version 1";
         return std::nullopt;
     }
-    const auto size = get<std::uint32_t>(fixed, 12);
+    const auto size = fixedAt<std::uint32_t>(fixed, 12);
     if (size > kHeadMost) {
         wrong = "its head is too large";
         return std::nullopt;
@@ -149,7 +84,7 @@
 std::optional<Head> decodeHead(std::string_view fixed, std::string_view text, std::string& wrong) {
     const auto size = headText(fixed, wrong);
     if (!size) return std::nullopt;
-    if (text.size() != *size || XXH64(text.data(), text.size(), 0) != get<std::uint64_t>(fixed, 16)) {
+    if (text.size() != *size || XXH64(text.data(), text.size(), 0) != fixedAt<std::uint64_t>(fixed, 16)) {
         wrong = "its head is damaged";
         return std::nullopt;
     }
@@ -185,11 +120,11 @@
         putVar(plain, static_cast<std::uint64_t>(e.answer.status) * 16 +
                           static_cast<std::uint64_t>(e.answer.ended) * 2 + (e.coarse ? 1 : 0));
         putVar(plain, folded(e.answer.bytes));
-        put<std::uint64_t>(plain, e.client);
-        put<std::uint64_t>(plain, e.target);
+        putFixed<std::uint64_t>(plain, e.client);
+        putFixed<std::uint64_t>(plain, e.target);
         // Most have none.
         putVar(plain, e.requestId == 0 ? 0 : 1);
-        if (e.requestId != 0) put<std::uint64_t>(plain, e.requestId);
+        if (e.requestId != 0) putFixed<std::uint64_t>(plain, e.requestId);
         putVar(plain, e.chain);
         putVar(plain, e.number);
         putVar(plain, e.upstreamTries);
@@ -200,28 +135,28 @@
     std::string packed(ZSTD_compressBound(plain.size()), 0);
     packed.resize(ZSTD_compress(packed.data(), packed.size(), plain.data(), plain.size(), kZstdLevel));
     std::string out(kBlockMagic);
-    put<std::uint32_t>(out, static_cast<std::uint32_t>(packed.size()));
-    put<std::uint32_t>(out, static_cast<std::uint32_t>(plain.size()));
-    put<std::uint32_t>(out, static_cast<std::uint32_t>(entries.size()));
-    put<std::int64_t>(out, entries.empty() ? 0 : entries.front().at);
-    put<std::int64_t>(out, entries.empty() ? 0 : entries.back().at);
-    put<std::uint32_t>(out, 0);  // room for later
-    put<std::uint64_t>(out, hashOf(out, packed));
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(packed.size()));
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(plain.size()));
+    putFixed<std::uint32_t>(out, static_cast<std::uint32_t>(entries.size()));
+    putFixed<std::int64_t>(out, entries.empty() ? 0 : entries.front().at);
+    putFixed<std::int64_t>(out, entries.empty() ? 0 : entries.back().at);
+    putFixed<std::uint32_t>(out, 0);  // room for later
+    putFixed<std::uint64_t>(out, hashOf(out, packed));
     return out + packed;
 }
 
 std::optional<BlockHead> decodeBlockHead(std::string_view bytes) {
     if (bytes.size() < kBlockHead || !bytes.starts_with(kBlockMagic)) return std::nullopt;
-    const BlockHead out{get<std::uint32_t>(bytes, 4),  get<std::uint32_t>(bytes, 8),
-                        get<std::uint32_t>(bytes, 12), get<std::int64_t>(bytes, 16),
-                        get<std::int64_t>(bytes, 24),  get<std::uint64_t>(bytes, 36)};
+    const BlockHead out{fixedAt<std::uint32_t>(bytes, 4),  fixedAt<std::uint32_t>(bytes, 8),
+                        fixedAt<std::uint32_t>(bytes, 12), fixedAt<std::int64_t>(bytes, 16),
+                        fixedAt<std::int64_t>(bytes, 24),  fixedAt<std::uint64_t>(bytes, 36)};
     if (out.packed > kPackedMost || out.plain > kPlainMost || out.entries > out.plain) return std::nullopt;
     return out;
 }
 
 bool decodeEntries(std::string_view plain, std::uint32_t count, std::size_t classes,
                    std::vector<Entry>& out) {
-    Reader in(plain);
+    bytes::Reader in(plain, kStringMost);
     std::vector<std::string_view> strings;
     const auto text = [&](std::string& into) {
         const std::uint64_t which = in.var();
--- a/src/trace_program/commands.cpp
+++ b/src/trace_program/commands.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -239,6 +240,74 @@
     return kRight;
 }
 
+namespace {
+
+std::string sizeOf(const trace::Statistics& statistics) {
+    return std::to_string(statistics.entries()) + " entries, " + std::to_string(statistics.clients()) +
+           " clients, from " + when(statistics.first());
+}
+
+chart::Chart ratesOf(const trace::Statistics& statistics, double binS) {
+    chart::Chart chart{"Requests by class",
+                       "seconds from the beginning",
+                       "requests a second",
+                       sizeOf(statistics) + ", in spans of " + std::to_string(binS).substr(0, 4) + " s",
+                       {},
+                       false};
+    for (const auto& c : statistics.classes()) {
+        if (c.entries == 0) continue;
+        chart::Line line{c.name, {}, true};
+        for (std::size_t i = 0; i < c.bins.size(); ++i) {
+            line.points.emplace_back(static_cast<double>(i) * binS, static_cast<double>(c.bins[i]) / binS);
+        }
+        chart.lines.push_back(std::move(line));
+    }
+    return chart;
+}
+
+// By quantile: gaps between two entries of a class, or durations.
+chart::Chart spansOf(const trace::Statistics& statistics, bool gaps) {
+    chart::Chart chart{gaps ? "Gaps between starts of a class" : "Durations",
+                       "share of all, percent",
+                       "milliseconds",
+                       sizeOf(statistics),
+                       {},
+                       true};
+    for (const auto& c : statistics.classes()) {
+        const trace::Histogram& spans = gaps ? c.gaps : c.durations;
+        if (spans.count() == 0) continue;
+        chart::Line line{c.name, {}, false};
+        for (int percent = 1; percent <= 100; ++percent) {
+            line.points.emplace_back(percent, spans.quantile(percent / 100.0) / 1000);
+        }
+        chart.lines.push_back(std::move(line));
+    }
+    return chart;
+}
+
+chart::Chart clientsOf(const trace::Statistics& statistics) {
+    chart::Chart chart{"What the busiest clients bring",   "share of clients, percent",
+                       "share of entries, percent",        sizeOf(statistics),
+                       {{"all classes", {{0, 0}}, false}}, false};
+    for (int percent = 1; percent <= 100; ++percent) {
+        chart.lines[0].points.emplace_back(percent, 100 * statistics.shareOfBusiest(percent / 100.0));
+    }
+    return chart;
+}
+
+chart::Chart chainsOf(const trace::Statistics& statistics) {
+    chart::Chart chart{"Wishes by how many tries they have", "tries", "wishes", sizeOf(statistics), {}, true};
+    for (const auto& c : statistics.classes()) {
+        chart::Line line{c.name, {}, false};
+        for (const auto& [tries, count] : c.chainTries)
+            line.points.emplace_back(tries, static_cast<double>(count));
+        if (!line.points.empty()) chart.lines.push_back(std::move(line));
+    }
+    return chart;
+}
+
+}  // namespace
+
 int statsCommand(const StatsAsked& asked) {
     trace::Reader reader(asked.trace);
     trace::Statistics statistics(reader.head(), static_cast<Micros>(asked.binS * 1e6));
@@ -287,24 +356,15 @@
             std::printf("\n");
         }
     }
-    if (asked.plot.empty()) return kRight;
-    chart::Chart chart{"Requests by class",
-                       "seconds from " + when(statistics.first()),
-                       "requests a second",
-                       std::to_string(statistics.entries()) + " entries in spans of " +
-                           std::to_string(asked.binS).substr(0, 4) + " s",
-                       {},
-                       false};
-    for (const auto& c : statistics.classes()) {
-        if (c.entries == 0) continue;
-        chart::Line line{c.name, {}, true};
-        for (std::size_t i = 0; i < c.bins.size(); ++i) {
-            line.points.emplace_back(static_cast<double>(i) * asked.binS,
-                                     static_cast<double>(c.bins[i]) / asked.binS);
-        }
-        chart.lines.push_back(std::move(line));
+    if (!asked.plot.empty()) chart::draw(ratesOf(statistics, asked.binS), asked.plot);
+    if (!asked.plots.empty()) {
+        std::filesystem::create_directories(asked.plots);
+        chart::draw(ratesOf(statistics, asked.binS), asked.plots + "/rates.svg");
+        chart::draw(spansOf(statistics, true), asked.plots + "/gaps.svg");
+        chart::draw(spansOf(statistics, false), asked.plots + "/durations.svg");
+        chart::draw(clientsOf(statistics), asked.plots + "/clients.svg");
+        chart::draw(chainsOf(statistics), asked.plots + "/chains.svg");
     }
-    chart::draw(chart, asked.plot);
     return kRight;
 }
 
--- a/src/trace_program/commands.h
+++ b/src/trace_program/commands.h
@@ -35,7 +35,7 @@
 int showCommand(const ShowAsked& asked);
 
 struct StatsAsked {
-    std::string trace, plot;
+    std::string trace, plot, plots;
     double binS = 10;
     bool json = false;
 };
--- a/src/trace_program/main.cpp
+++ b/src/trace_program/main.cpp
@@ -52,6 +52,8 @@
         c->add_option("--bin", asked->binS, "Seconds of a span of the rates")
             ->check(CLI::Range(0.001, 86400.0));
         c->add_option("--plot", asked->plot, "Draw the rates into this .svg or .png file");
+        c->add_option("--plots", asked->plots,
+                      "Draw rates, gaps, durations, clients and chains into this folder");
         c->add_flag("--json", asked->json, "Print JSON");
         c->callback([asked, &status] { status = statsCommand(*asked); });
     }
--- /dev/null
+++ b/tests/membership/peers_test.cpp
@@ -0,0 +1,174 @@
+// SWIM in random networks: loss, delay, doubling, partitions, two of one name. Virtual time.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+#include <random>
+#include <set>
+
+#include "membership/peers.h"
+
+namespace marldale::membership {
+namespace {
+
+constexpr Micros kMs = 1000, kSecond = 1000 * kMs;
+
+class Network {
+public:
+    Network(int count, double loss, std::uint64_t seed, PeerRules rules = {})
+        : loss_(loss), random_(seed), rules_(rules) {
+        for (int i = 0; i < count; ++i) start(nameOf(i), 1);
+    }
+    static std::string nameOf(int i) { return "n" + std::to_string(i); }
+    // Each knows the first one, and nothing else.
+    void start(const std::string& name, std::uint64_t incarnation) {
+        auto& node = nodes[name] = std::make_unique<Peers>(name, incarnation, rules_, random_());
+        if (name != "n0") node->know("n0", now);
+        if (name == "n0") node->know("n1", now);
+    }
+    void kill(const std::string& name) { nodes.erase(name); }
+    void run(Micros span) {
+        const Micros until = now + span;
+        while (now < until) {
+            now += 50 * kMs;
+            for (auto& [name, node] : nodes) {
+                if (node->nextDue() <= now) send(node->tick(now));
+            }
+            while (!wire_.empty() && wire_.begin()->first <= now) {
+                const PeerMessage m = std::move(wire_.extract(wire_.begin()).mapped());
+                const auto to = nodes.find(m.to);
+                if (to != nodes.end()) send(to->second->received(m, now));
+            }
+            for (auto& [name, node] : nodes) {
+                for (const PeerEvent& e : node->takeEvents()) {
+                    events.emplace_back(now, name, e);
+                }
+            }
+        }
+    }
+    void send(const std::vector<PeerMessage>& messages) {
+        for (const PeerMessage& m : messages) {
+            ++sent;
+            if (apart.count(m.from) != apart.count(m.to)) continue;
+            for (int copy = random_() % 20 == 0 ? 2 : 1; copy > 0; --copy) {
+                if (static_cast<double>(random_() % 10000) < loss_ * 10000) continue;
+                wire_.emplace(now + static_cast<Micros>(1 + random_() % 100) * kMs, m);
+            }
+        }
+    }
+    [[nodiscard]] bool allSee(std::size_t others) const {
+        for (const auto& [name, node] : nodes) {
+            if (node->alive().size() != others) return false;
+        }
+        return true;
+    }
+    [[nodiscard]] std::size_t count(PeerEvent::Kind kind, const std::string& name = {}) const {
+        std::size_t out = 0;
+        for (const auto& [at, by, e] : events)
+            out += e.kind == kind && (name.empty() || e.name == name) ? 1 : 0;
+        return out;
+    }
+    std::map<std::string, std::unique_ptr<Peers>> nodes;
+    std::vector<std::tuple<Micros, std::string, PeerEvent>> events;
+    std::set<std::string> apart;
+    Micros now = 0;
+    std::size_t sent = 0;
+
+private:
+    double loss_;
+    std::mt19937_64 random_;
+    PeerRules rules_;
+    std::multimap<Micros, PeerMessage> wire_;
+};
+
+RC_GTEST_PROP(PeersProperty, EverybodyIsFoundThroughOneAndNobodyIsTakenForDeadWithoutLoss,
+              (std::uint32_t seed)) {
+    Network net(5 + static_cast<int>(seed % 20), 0, seed);
+    net.run(40 * kSecond);
+    RC_ASSERT(net.allSee(net.nodes.size() - 1));
+    RC_ASSERT(net.count(PeerEvent::Kind::suspected) == 0U);
+    RC_ASSERT(net.count(PeerEvent::Kind::died) == 0U);
+}
+
+RC_GTEST_PROP(PeersProperty, OneThatVanishesIsDeadForAllInTimeAndComesBackWithAHigherIncarnation,
+              (std::uint32_t seed)) {
+    Network net(10, 0.05, seed);
+    net.run(40 * kSecond);
+    net.kill("n3");
+    // A round to ping it, the suspicion, and the news of it.
+    net.run(45 * kSecond);
+    for (const auto& [name, node] : net.nodes) {
+        const auto members = node->members();
+        const auto at = members.find("n3");
+        RC_ASSERT(at == members.end() || at->second == PeerState::dead);
+    }
+    net.start("n3", 2);
+    net.run(30 * kSecond);
+    RC_ASSERT(net.allSee(9));
+}
+
+RC_GTEST_PROP(PeersProperty, APartitionEndsAndAllAreFoundAgain, (std::uint32_t seed)) {
+    Network net(8, 0, seed);
+    net.run(30 * kSecond);
+    net.apart = {"n1", "n2", "n3"};
+    net.run(40 * kSecond);
+    RC_ASSERT(net.nodes.at("n0")->alive().size() == 4U);
+    RC_ASSERT(net.nodes.at("n1")->alive().size() == 2U);
+    net.apart.clear();
+    net.run(60 * kSecond);
+    RC_ASSERT(net.allSee(7));
+}
+
+TEST(Peers, ASuspectRefutesAndIsNotDead) {
+    Network net(6, 0, 1);
+    net.run(20 * kSecond);
+    // One is cut off for a little: long enough to be suspected, too short to be dead.
+    net.apart = {"n2"};
+    net.run(7 * kSecond);
+    EXPECT_GT(net.count(PeerEvent::Kind::suspected, "n2"), 0U);
+    net.apart.clear();
+    net.run(20 * kSecond);
+    EXPECT_EQ(net.count(PeerEvent::Kind::died, "n2"), 0U);
+    EXPECT_GT(net.nodes.at("n2")->incarnation(), 1U);
+    EXPECT_TRUE(net.allSee(5));
+}
+
+TEST(Peers, WhoLeavesInOrderIsNeverSuspected) {
+    Network net(6, 0, 2);
+    net.run(20 * kSecond);
+    net.send(net.nodes.at("n4")->leave(net.now));
+    net.kill("n4");
+    net.run(10 * kSecond);
+    EXPECT_EQ(net.count(PeerEvent::Kind::suspected, "n4"), 0U);
+    EXPECT_EQ(net.count(PeerEvent::Kind::left, "n4"), 5U);
+}
+
+TEST(Peers, TwoOfOneNameAreNoticed) {
+    Peers one("n0", 5, {}, 1);
+    one.know("n1", 0);
+    const PeerMessage other{PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", 9, PeerState::alive}}};
+    (void)one.received(other, kSecond);
+    const auto events = one.takeEvents();
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].kind, PeerEvent::Kind::twoOfOneName);
+}
+
+TEST(Peers, MessagesAreBoundedWhateverComes) {
+    PeerRules rules;
+    rules.membersMost = 50;
+    Peers one("n0", 5, rules, 1);
+    PeerMessage flood{PeerMessage::Kind::ping, "n1", "n0", 1, "", {}};
+    for (int round = 0; round < 20; ++round) {
+        flood.gossip.clear();
+        for (int i = 0; i < 1000; ++i)
+            flood.gossip.push_back({"x" + std::to_string(round * 1000 + i), 1, PeerState::alive});
+        const auto out = one.received(flood, kSecond);
+        ASSERT_EQ(out.size(), 1U);
+        EXPECT_LE(out[0].gossip.size(), 9U);
+    }
+    EXPECT_LE(one.members().size(), 50U);
+}
+
+}  // namespace
+}  // namespace marldale::membership
--- /dev/null
+++ b/tests/recovery/recovery_test.cpp
@@ -0,0 +1,244 @@
+// What is known of the boxes: merging in any order, ages, the list's word, hostile and stopped donors, bytes.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "recovery/codec.h"
+#include "recovery/knowledge.h"
+
+namespace marldale::recovery {
+namespace {
+
+constexpr Micros kSecond = 1000000;
+
+using Listed = Knowledge::Listed;
+
+std::map<std::string, Listed> listOf(int boxes, std::int64_t boot = 5) {
+    std::map<std::string, Listed> out;
+    for (int i = 0; i < boxes; ++i) out["box-" + std::to_string(i)] = {ServerState::ready, boot};
+    return out;
+}
+
+Handover randomHandover(std::mt19937_64& random) {
+    Handover out;
+    out.from = "n" + std::to_string(random() % 4);
+    for (std::uint64_t i = random() % 12; i > 0; --i) {
+        SumFact f;
+        f.origin = "n" + std::to_string(random() % 4);
+        f.box = "box-" + std::to_string(random() % 3);
+        f.zone = random() % 2 == 0 ? "a" : "b";
+        f.bootMs = 5;
+        f.word = {1 + random() % 2, random() % 3};
+        f.age = static_cast<Micros>(random() % 50) * kSecond;
+        // The same word of the same origin says the same, however it came.
+        const std::uint64_t says =
+            f.word.incarnation * 7 + f.word.number * 13 + f.box.back() + f.zone.back() + f.origin.back();
+        f.tries = 10 + static_cast<std::uint32_t>(says % 50);
+        f.failed = static_cast<std::uint32_t>(says % 10);
+        f.mean = static_cast<Micros>(says) * 1000;
+        out.sums.push_back(f);
+    }
+    for (std::uint64_t i = random() % 4; i > 0; --i) {
+        out.listed.push_back(
+            {"box-" + std::to_string(random() % 3), random() % 6, static_cast<ServerState>(random() % 3), 5});
+    }
+    return out;
+}
+
+std::vector<std::tuple<std::string, std::string, double, double, Micros>> pictureOf(const Knowledge& k,
+                                                                                    Micros now) {
+    std::vector<std::tuple<std::string, std::string, double, double, Micros>> out;
+    for (const RecalledSum& r : k.recalled(now)) out.emplace_back(r.box, r.zone, r.tries, r.failed, r.mean);
+    return out;
+}
+
+Knowledge fresh() {
+    Knowledge out("me", 1);
+    out.listSays(2, listOf(3));
+    return out;
+}
+
+RC_GTEST_PROP(KnowledgeProperty, MergingIsCommutativeAssociativeAndIdempotent, (std::uint32_t seed)) {
+    std::mt19937_64 random(seed);
+    std::vector<Handover> all;
+    for (int i = 0; i < 5; ++i) all.push_back(randomHandover(random));
+    Knowledge one = fresh(), two = fresh();
+    for (const Handover& h : all) (void)one.merge(h, 0, kSecond);
+    std::shuffle(all.begin(), all.end(), random);
+    for (const Handover& h : all) {
+        (void)two.merge(h, 0, kSecond);
+        if (random() % 2 == 0) (void)two.merge(h, 0, kSecond);
+    }
+    RC_ASSERT(pictureOf(one, kSecond) == pictureOf(two, kSecond));
+    RC_ASSERT(one.heldBack() == two.heldBack());
+    RC_ASSERT(one.handOver(kSecond).sums == two.handOver(kSecond).sums);
+}
+
+RC_GTEST_PROP(KnowledgeProperty, PassingOnNeverAddsWeightHoweverOftenItGoesRound, (std::uint32_t seed)) {
+    std::mt19937_64 random(seed);
+    // Instances that tell one another again and again, and see nothing new.
+    std::vector<Knowledge> ring;
+    for (int i = 0; i < 4; ++i) {
+        ring.emplace_back("n" + std::to_string(i), 1);
+        ring.back().listSays(2, listOf(3));
+    }
+    ring[0].saw("box-0", "a", 5, 40, 4, 90000, 0);
+    ring[1].saw("box-0", "a", 5, 30, 0, 70000, 0);
+    Micros now = 0;
+    double most = 1e9;
+    for (int turn = 0; turn < 60; ++turn) {
+        now += static_cast<Micros>(random() % kSecond);
+        const std::size_t from = random() % 4, to = random() % 4;
+        if (from != to)
+            (void)ring[to].merge(ring[from].handOver(now), static_cast<Micros>(random() % 100000), now);
+        double heaviest = 0;
+        for (const Knowledge& k : ring) {
+            for (const RecalledSum& r : k.recalled(now)) heaviest = std::max(heaviest, r.tries);
+        }
+        // Together they never know more than the two of them saw, faded since.
+        const double bound = ring[0].weightOf(40, now) + ring[0].weightOf(30, now);
+        RC_ASSERT(heaviest <= bound + 1e-9);
+        most = std::min(most, heaviest);
+    }
+}
+
+RC_GTEST_PROP(KnowledgeProperty, NoFactMakesABoxListableOrReady, (std::uint32_t seed)) {
+    std::mt19937_64 random(seed);
+    Knowledge k("me", 1);
+    auto list = listOf(3);
+    list["box-1"].state = ServerState::draining;
+    list.erase("box-2");
+    k.listSays(2, list);
+    for (int i = 0; i < 8; ++i) (void)k.merge(randomHandover(random), 0, kSecond);
+    for (const RecalledSum& r : k.recalled(kSecond)) RC_ASSERT(r.box == "box-0");
+    for (const std::string& box : k.heldBack()) RC_ASSERT(box == "box-0");
+}
+
+TEST(Knowledge, ABoxThatANewerListSawDrainingIsHeldBackUntilOursHasThatVersion) {
+    Knowledge donor("n1", 1), asker("n2", 1);
+    auto later = listOf(3);
+    later["box-1"].state = ServerState::draining;
+    later["box-2"].state = ServerState::gone;
+    donor.listSays(9, later);
+    asker.listSays(5, listOf(3));
+    (void)asker.merge(donor.handOver(0), 0, 0);
+    EXPECT_EQ(asker.heldBack(), (std::set<std::string>{"box-1", "box-2"}));
+    asker.listSays(8, listOf(3));
+    EXPECT_EQ(asker.heldBack().size(), 2U);
+    asker.listSays(9, later);
+    EXPECT_TRUE(asker.heldBack().empty()) << "our own list says so itself now";
+    // An older list than ours holds nothing back.
+    Knowledge behind("n3", 1);
+    behind.listSays(3, later);
+    asker.listSays(10, listOf(3));
+    (void)asker.merge(behind.handOver(0), 0, 0);
+    EXPECT_TRUE(asker.heldBack().empty());
+}
+
+TEST(Knowledge, FactsOfAnotherBootAreVoid) {
+    Knowledge k("me", 1);
+    k.listSays(1, listOf(2, 5));
+    k.saw("box-0", "a", 5, 50, 0, 1000, 0);
+    Handover ahead;
+    ahead.sums.push_back({"n1", "box-1", "a", 9, {1, 1}, 0, 50, 0, 1000});
+    (void)k.merge(ahead, 0, 0);
+    EXPECT_EQ(k.recalled(0).size(), 1U) << "of a boot that our list does not have yet";
+    k.listSays(2, listOf(2, 9));
+    const auto now = k.recalled(0);
+    ASSERT_EQ(now.size(), 1U);
+    EXPECT_EQ(now[0].box, "box-1") << "and of one that is over";
+}
+
+TEST(Knowledge, LiveEvidenceOutweighsWhatWasRecalledWithinThreeReports) {
+    Knowledge k("me", 1);
+    k.listSays(1, listOf(1));
+    Handover lie;  // a hostile peer under many names
+    for (int i = 0; i < 100; ++i)
+        lie.sums.push_back({"n" + std::to_string(i), "box-0", "a", 5, {1, 1}, 0, 10'000'000, 10'000'000, 0});
+    const MergeCounts counts = k.merge(lie, 0, 0);
+    EXPECT_GT(counts.refused, 60U) << "more origins than instances that can be";
+    const auto recalled = k.recalled(0);
+    ASSERT_EQ(recalled.size(), 1U);
+    EXPECT_LE(recalled[0].tries, 128.0);
+    // Three reports of 50 tries each.
+    EXPECT_LT(recalled[0].tries, 3 * 50.0);
+    k.forget(140 * kSecond);
+    EXPECT_EQ(k.facts(), 0U);
+}
+
+TEST(Knowledge, WhatCantBeIsRefusedAndOurOwnSightIsNotToldToUs) {
+    Knowledge k("me", 7);
+    k.listSays(1, listOf(1));
+    Handover h;
+    const SumFact good{"n1", "box-0", "a", 5, {1, 1}, 0, 50, 5, 1000};
+    for (int kind = 0; kind < 9; ++kind) {
+        SumFact f = good;
+        if (kind == 0) f.age = -1;
+        if (kind == 1) f.age = 3600 * kSecond;
+        if (kind == 2) f.failed = 51;
+        if (kind == 3) f.mean = -1;
+        if (kind == 4) f.tries = 0;
+        if (kind == 5) f.box.clear();
+        if (kind == 6) f.zone = std::string(500, 'z');
+        if (kind == 7) f.origin = "me", f.word = {7, 99};
+        if (kind == 8) f.bootMs = -1;
+        h.sums.push_back(f);
+    }
+    EXPECT_EQ(k.merge(h, 0, 0).refused, 9U);
+    h.sums = {good};
+    h.sums[0].origin = "me";
+    h.sums[0].word = {6, 5};
+    EXPECT_EQ(k.merge(h, 0, 0).taken, 1U) << "what we saw before we were started anew";
+}
+
+TEST(Knowledge, TheWholeAskingCountsAsAge) {
+    Knowledge donor("n1", 1), asker("n2", 1);
+    donor.listSays(1, listOf(1));
+    asker.listSays(1, listOf(1));
+    donor.saw("box-0", "a", 5, 64, 0, 1000, 100 * kSecond);
+    // Their clocks have nothing in common.
+    (void)asker.merge(donor.handOver(110 * kSecond), 10 * kSecond, 5 * kSecond);
+    EXPECT_NEAR(asker.recalled(5 * kSecond)[0].tries, 32, 0.01) << "twenty seconds old";
+}
+
+RC_GTEST_PROP(CodecProperty, WhatIsWrittenIsReadBackAndWhatIsChangedIsFound, (std::uint32_t seed)) {
+    std::mt19937_64 random(seed);
+    const Handover h = randomHandover(random);
+    std::string bytes = encode(h), wrong;
+    const auto back = decode(bytes, wrong);
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(*back == h);
+    RC_ASSERT(!decode(bytes.substr(0, random() % bytes.size()), wrong).has_value());
+    RC_ASSERT(!wrong.empty());
+    std::string flipped = bytes;
+    const std::size_t at = 8 + random() % (bytes.size() - 8);
+    flipped[at] = static_cast<char>(flipped[at] ^ (1 << (random() % 8)));
+    RC_ASSERT(!decode(flipped, wrong).has_value());
+    std::string noise(random() % 300, 0);
+    for (char& c : noise) c = static_cast<char>(random());
+    Handover out;
+    (void)decodePlain(noise, out);
+    RC_ASSERT(out.sums.size() <= noise.size());
+}
+
+TEST(Codec, LargeFleetsFitAndSayHowMuchTheyTake) {
+    Knowledge k("n1", 1);
+    k.listSays(1, listOf(540));
+    for (int i = 0; i < 540; ++i) {
+        for (const char* zone : {"a", "b", "c", "d"}) {
+            k.saw("box-" + std::to_string(i), zone, 5, 40 + static_cast<std::uint32_t>(i % 20), 0,
+                  90000 + i * 13, 0);
+        }
+    }
+    const std::string bytes = encode(k.handOver(kSecond));
+    EXPECT_LT(bytes.size(), 200000U);
+    std::string wrong;
+    ASSERT_TRUE(decode(bytes, wrong));
+    EXPECT_EQ(decode(bytes, wrong)->sums.size(), 2160U);
+}
+
+}  // namespace
+}  // namespace marldale::recovery
