--- a/src/attempts/chains.cpp
+++ b/src/attempts/chains.cpp
@@ -3,18 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace marldale::attempts {
-namespace {
+#include "bytes/mix.h"
 
-std::uint64_t mixed(std::uint64_t x) {  // the finalizer of SplitMix64
-    x ^= x >> 30U;
-    x *= 0xbf58476d1ce4e5b9ULL;
-    x ^= x >> 27U;
-    x *= 0x94d049bb133111ebULL;
-    return x ^ (x >> 31U);
-}
+namespace marldale::attempts {
 
-}  // namespace
+using bytes::mixed;
 
 std::size_t ChainJoiner::HashKey::operator()(const Key& key) const {
     return static_cast<std::size_t>(mixed(key.a + mixed(key.b + key.classIndex)));
--- a/src/membership/peers.cpp
+++ b/src/membership/peers.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "bytes/mix.h"
+
 namespace marldale::membership {
 namespace {
 
@@ -24,10 +26,8 @@
       random_(seed * 0x9e3779b97f4a7c15ULL + 1) {}
 
 std::uint32_t Peers::random(std::uint32_t below) {  // SplitMix64
-    std::uint64_t x = random_ += 0x9e3779b97f4a7c15ULL;
-    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
-    return static_cast<std::uint32_t>((x ^ (x >> 31U)) % below);
+    random_ += 0x9e3779b97f4a7c15ULL;
+    return static_cast<std::uint32_t>(bytes::mixed(random_) % below);
 }
 
 double Peers::logOfMembers() const { return std::log2(static_cast<double>(members_.size()) + 2); }
--- a/src/replay/plan.cpp
+++ b/src/replay/plan.cpp
@@ -4,23 +4,18 @@
 #include <cmath>
 #include <utility>
 
+#include "bytes/mix.h"
+
 namespace marldale::replay {
 namespace {
 
 using attempts::Effect;
 using attempts::Word;
+using bytes::mixed;
 
 constexpr double kBurst = 0.05;  // seconds of the rate that may go at once
 constexpr int kRefused = 429, kUnavailable = 503;
 
-std::uint64_t mixed(std::uint64_t x) {  // the finalizer of SplitMix64
-    x ^= x >> 30U;
-    x *= 0xbf58476d1ce4e5b9ULL;
-    x ^= x >> 27U;
-    x *= 0x94d049bb133111ebULL;
-    return x ^ (x >> 31U);
-}
-
 // One wish of one copy in one loop.
 attempts::Intent intentOf(std::uint64_t chain, unsigned loop, unsigned copy) {
     return mixed(chain + mixed((static_cast<std::uint64_t>(loop) << 32U) + copy + 1));
--- a/src/replay/rehearsal.cpp
+++ b/src/replay/rehearsal.cpp
@@ -3,18 +3,14 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "bytes/mix.h"
+
 namespace marldale::replay {
 namespace {
 
-using Json = nlohmann::json;
+using bytes::mixed;
 
-std::uint64_t mixed(std::uint64_t x) {  // the finalizer of SplitMix64
-    x ^= x >> 30U;
-    x *= 0xbf58476d1ce4e5b9ULL;
-    x ^= x >> 27U;
-    x *= 0x94d049bb133111ebULL;
-    return x ^ (x >> 31U);
-}
+using Json = nlohmann::json;
 
 double millis(Micros span) { return static_cast<double>(span) / 1000; }
 
--- a/tests/grpc/parties.h
+++ b/tests/grpc/parties.h
@@ -137,9 +137,9 @@
 
     Watch watch;
     std::vector<std::string> calls, lines;
-    std::vector<routing::Input> posted;  // and taken
+    std::vector<routing::Input> posted;    // and taken
     std::size_t refused = 0, batches = 0;  // inputs not taken; batches that went to the front
-    std::atomic<bool> refusing = false;  // as if the queue were full
+    std::atomic<bool> refusing = false;    // as if the queue were full
     std::unique_ptr<routing::PlannerThread> thread;
     std::unique_ptr<grpc_front::Server> server;
 
