--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -35,6 +35,6 @@
 target_link_libraries(marldale_replay PUBLIC marldale_trace_files marldale_transport Boost::headers
   PRIVATE nlohmann_json::nlohmann_json)
 
-add_executable(marldale_trace src/trace_program/commands.cpp src/trace_program/main.cpp)
-target_link_libraries(marldale_trace PRIVATE marldale_protocol marldale_sources marldale_replay marldale_chart nlohmann_json::nlohmann_json
+add_executable(marldale_trace src/trace_program/commands.cpp src/trace_program/knowledge_commands.cpp src/trace_program/main.cpp)
+target_link_libraries(marldale_trace PRIVATE marldale_recovery marldale_protocol marldale_sources marldale_replay marldale_chart nlohmann_json::nlohmann_json
   CLI11::CLI11)
--- a/src/program/command_line.cpp
+++ b/src/program/command_line.cpp
@@ -43,6 +43,7 @@
     app.add_subcommand("trace",
                        "Recorded traffic: import, show, stats, cut, merge, scale, classify (marldale_trace)");
     app.add_subcommand("replay", "Play recorded traffic against boxes (marldale_trace)");
+    app.add_subcommand("knowledge", "Snapshots of what a planner knows: show, diff (marldale_trace)");
     const auto* const version = app.add_subcommand("version", "Print the version");
     try {
         app.parse(argc, argv);
--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -30,6 +30,12 @@
     return *address;
 }
 
+Micros steadyMicros() {
+    using std::chrono::steady_clock;
+    return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now().time_since_epoch())
+        .count();
+}
+
 }  // namespace
 
 const char* name(Phase phase) {
@@ -75,6 +81,7 @@
     serve();
     loop_.run();
     if (front_) front_->stop(kFrontEndsWithinMs);
+    if (keeper_) keeper_->stop();
     planner_.reset();  // before the parties that it calls
     enter(Phase::ended);
     log_.flush();
@@ -105,13 +112,19 @@
 }
 
 std::function<bool(routing::Input)> Daemon::toModule() {
-    return [this](routing::Input input) { return planner_->post(std::move(input)); };
+    return [this](routing::Input input) {
+        if (!keeper_) return planner_->post(std::move(input));
+        const bool taken = planner_->post(input);
+        if (taken) keeper_->took(input, steadyMicros());
+        return taken;
+    };
 }
 
 void Daemon::stand() {
     std::optional<routing::JunctionRules> junction;
     if (own_.grpc.on) junction = routing::junctionRules(config_, epoch_);
     planner_.emplace(config_, outlets(), logger_, std::move(junction));
+    if (own_.knowledge.on) remember();
     const transport::Address relay = addressOf(config_.relay, "relay.address");
     const std::uint64_t seed = config_.settings.seed;
     calls_.emplace(
@@ -134,6 +147,20 @@
     if (own_.grpc.on) openFront();
 }
 
+// After the first turn, which waits for nothing: what was known is told as sums of long ago.
+void Daemon::remember() {
+    routing::KeeperHost host;
+    host.log = logger_;
+    host.name = config_.name;
+    host.known = config_.known;
+    host.reportEvery = config_.settings.reportEvery;
+    const std::string module =
+        own_.knowledge.module.empty() ? frontModuleBeside("marldale_knowledge.so") : own_.knowledge.module;
+    auto keeper = loadKeeper(module, own_.knowledge.keeper, std::move(host));
+    for (routing::Input& input : keeper->recalled(steadyMicros())) (void)planner_->post(std::move(input));
+    keeper_ = std::move(keeper);
+}
+
 void Daemon::openFront() {
     routing::FrontHost host;
     host.post = toModule();
--- a/src/program/daemon.h
+++ b/src/program/daemon.h
@@ -9,6 +9,7 @@
 #include "protocol/config.h"
 #include "routing/catalog_watch.h"
 #include "routing/intake.h"
+#include "routing/keeper.h"
 #include "routing/planner_thread.h"
 #include "routing/prober.h"
 #include "routing/proxy_news.h"
@@ -50,6 +51,7 @@
     void stand();
     void serve();
     void openFront();
+    void remember();
     void stop(const char* signal);
     void reload();
     void moveTo(const protocol::Config& config);
@@ -74,7 +76,8 @@
     std::optional<routing::Prober> prober_;
     std::optional<routing::Intake> intake_;
     std::optional<routing::PlannerThread> planner_;
-    std::unique_ptr<routing::Front> front_;  // gRPC, if it is switched on
+    std::unique_ptr<routing::Keeper> keeper_;  // of knowledge, and the gRPC front: if they are switched on
+    std::unique_ptr<routing::Front> front_;
 };
 
 }  // namespace marldale::program
--- a/src/program/load_front.h
+++ b/src/program/load_front.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "routing/front.h"
+#include "routing/keeper.h"
 
 namespace marldale::program {
 
@@ -16,5 +17,8 @@
 [[nodiscard]] std::unique_ptr<routing::Front> loadFront(const std::string& module,
                                                         const routing::FrontSettings& settings,
                                                         routing::FrontHost host);
+[[nodiscard]] std::unique_ptr<routing::Keeper> loadKeeper(const std::string& module,
+                                                          const routing::KeeperSettings& settings,
+                                                          routing::KeeperHost host);
 
 }  // namespace marldale::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -92,7 +92,8 @@
 
 int main(int argc, char** argv) {
     using marldale::program::Verb;
-    if (argc > 1 && (std::string_view(argv[1]) == "trace" || std::string_view(argv[1]) == "replay")) {
+    if (argc > 1 && (std::string_view(argv[1]) == "trace" || std::string_view(argv[1]) == "replay" ||
+                     std::string_view(argv[1]) == "knowledge")) {
         return runBeside(argv);
     }
     holdHangUp(SIG_BLOCK);
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -81,6 +81,33 @@
         });
 }
 
+void addKnowledge(Schema& schema, KnowledgeSettings& knowledge) {
+    schema.key("knowledge", "snapshot", Type::file)
+        .means("file in which what is known of the boxes is kept over a restart; this switches it on")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.on = true;
+            knowledge.keeper.snapshot = v.text;
+        });
+    schema.key("knowledge", "module", Type::file)
+        .otherwise("marldale_knowledge.so beside the program")
+        .means("the module that keeps it")
+        .to([&knowledge](const std::string&, const Value& v) { knowledge.module = v.text; });
+    schema.key("knowledge", "every_s", Type::whole)
+        .range("s", 1, 3600)
+        .otherwise("10")
+        .means("between two snapshots")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.keeper.every = v.whole() * 1000000;
+        });
+    schema.key("knowledge", "age_most_s", Type::whole)
+        .range("s", 1, 86400)
+        .otherwise("600")
+        .means("an older snapshot is not used")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.keeper.ageMost = v.whole() * 1000000;
+        });
+}
+
 void addIdentities(Schema& schema, membership::Passports& passports) {
     schema.key("identity *", "zones", Type::list)
         .takenLive()
@@ -127,6 +154,7 @@
     addLog(out, into.log);
     addGrpc(out, into.grpc);
     addIdentities(out, into.grpc.front.passports);
+    addKnowledge(out, into.knowledge);
     return out;
 }
 
--- a/src/program/settings.h
+++ b/src/program/settings.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "routing/front.h"
+#include "routing/keeper.h"
 #include "settings/schema.h"
 
 namespace marldale::program {
@@ -28,9 +29,16 @@
     routing::FrontSettings front;
 };
 
+struct KnowledgeSettings {
+    bool on = false;
+    std::string module;  // empty: beside the program
+    routing::KeeperSettings keeper;
+};
+
 struct OwnSettings {
     LogSettings log;
     GrpcSettings grpc;
+    KnowledgeSettings knowledge;
     std::map<std::string, std::string> said;  // what the file says, by `[section] key`
 };
 
--- a/src/trace_program/commands.h
+++ b/src/trace_program/commands.h
@@ -77,4 +77,11 @@
 };
 int replayCommand(ReplayAsked asked);
 
+struct KnowledgeAsked {
+    std::string snapshot, other;
+    bool json = false;
+};
+int showKnowledgeCommand(const KnowledgeAsked& asked);
+int diffKnowledgeCommand(const KnowledgeAsked& asked);
+
 }  // namespace marldale::trace_program
--- a/src/trace_program/main.cpp
+++ b/src/trace_program/main.cpp
@@ -143,6 +143,20 @@
     replay.callback([asked, &status] { status = replayCommand(*asked); });
 }
 
+void addKnowledge(CLI::App& knowledge, int& status) {
+    knowledge.require_subcommand(1);
+    auto asked = std::make_shared<KnowledgeAsked>();
+    auto* show = knowledge.add_subcommand("show", "Print a snapshot");
+    show->add_option("snapshot", asked->snapshot)->required();
+    show->add_flag("--json", asked->json);
+    show->callback([asked, &status] { status = showKnowledgeCommand(*asked); });
+    auto* diff =
+        knowledge.add_subcommand("diff", "What differs between two snapshots; status 1 if anything does");
+    diff->add_option("snapshot", asked->snapshot)->required();
+    diff->add_option("other", asked->other)->required();
+    diff->callback([asked, &status] { status = diffKnowledgeCommand(*asked); });
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -152,6 +166,7 @@
     int status = 0;
     addTrace(*app.add_subcommand("trace", "Traces of recorded traffic"), status);
     addReplay(*app.add_subcommand("replay", "Play a trace against boxes"), status);
+    addKnowledge(*app.add_subcommand("knowledge", "Snapshots of what a planner knows"), status);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -4,10 +4,12 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <random>
 
 #include "recovery/codec.h"
 #include "recovery/knowledge.h"
+#include "recovery/snapshot.h"
 
 namespace marldale::recovery {
 namespace {
@@ -240,5 +242,69 @@
     EXPECT_EQ(decode(bytes, wrong)->sums.size(), 2160U);
 }
 
+// ---- Snapshots ----
+
+class SnapshotFile : public testing::Test {
+protected:
+    void SetUp() override {
+        std::string pattern = testing::TempDir() + "marldalesnapshotXXXXXX";
+        ASSERT_NE(mkdtemp(pattern.data()), nullptr);
+        directory = pattern;
+        snapshot.wallUs = 1791662400000000;
+        snapshot.handover.from = "n0";
+        for (int i = 0; i < 20; ++i) {
+            snapshot.handover.sums.push_back(
+                {"n0", "box-" + std::to_string(i), "a", 5, {1, 1}, kSecond, 50, 5, 1000});
+        }
+    }
+    void TearDown() override { std::filesystem::remove_all(directory); }
+    std::string directory, wrong;
+    Snapshot snapshot;
+};
+
+TEST_F(SnapshotFile, IsReadBackAndReplacedAsAWhole) {
+    const std::string path = directory + "/k";
+    EXPECT_FALSE(readSnapshot(path, wrong));
+    EXPECT_TRUE(wrong.empty()) << "none is no fault";
+    writeSnapshot(path, snapshot);
+    EXPECT_EQ(readSnapshot(path, wrong), snapshot);
+    snapshot.handover.from = "n1";
+    writeSnapshot(path, snapshot);
+    EXPECT_EQ(readSnapshot(path, wrong), snapshot);
+    EXPECT_EQ(std::distance(std::filesystem::directory_iterator(directory), {}), 1);
+}
+
+TEST_F(SnapshotFile, TornAtAnyByteOrWithAnyByteChangedItIsNotUsed) {
+    const std::string bytes = encode(snapshot);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        EXPECT_FALSE(decodeSnapshot(bytes.substr(0, size), wrong)) << size;
+        EXPECT_FALSE(wrong.empty());
+    }
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+        std::string bad = bytes;
+        bad[at] = static_cast<char>(~bad[at]);
+        EXPECT_FALSE(decodeSnapshot(bad, wrong)) << at;
+    }
+    EXPECT_FALSE(decodeSnapshot("MRLTRACE, or anything else that is foreign", wrong));
+}
+
+TEST_F(SnapshotFile, AFullDiskOrAFolderThatIsGoneIsToldAndLeavesTheOldOne) {
+    const std::string path = directory + "/k";
+    writeSnapshot(path, snapshot);
+    Snapshot other = snapshot;
+    other.handover.from = "n1";
+    EXPECT_THROW(writeSnapshot(directory + "/gone/k", other), std::runtime_error);
+    std::filesystem::create_symlink("/dev/full", path + ".part");
+    EXPECT_THROW(writeSnapshot(path, other), std::runtime_error);
+    EXPECT_EQ(readSnapshot(path, wrong), snapshot);
+    EXPECT_FALSE(readSnapshot(directory, wrong));
+    EXPECT_FALSE(wrong.empty());
+}
+
+TEST_F(SnapshotFile, AClockThatWentBackMakesItsAgeUnknown) {
+    EXPECT_EQ(ageOf(snapshot, snapshot.wallUs + 7), 7);
+    EXPECT_FALSE(ageOf(snapshot, snapshot.wallUs - 1));
+}
+
 }  // namespace
 }  // namespace marldale::recovery
