--- a/src/membership/peers.cpp
+++ b/src/membership/peers.cpp
@@ -11,6 +11,9 @@
 
 using Kind = PeerMessage::Kind;
 
+// No start has such a one; above it a refutation would have no number left.
+constexpr std::uint64_t kIncarnationMost = std::uint64_t{1} << 62U;
+
 bool isOver(PeerState state) { return state == PeerState::dead || state == PeerState::left; }
 
 // Whether a word of the same incarnation overrides another: what is worse does.
@@ -73,7 +76,7 @@
 }
 
 void Peers::hear(const Gossip& gossip, Micros now) {
-    if (gossip.name.empty() || gossip.name.size() > 128) return;
+    if (gossip.name.empty() || gossip.name.size() > 128 || gossip.incarnation > kIncarnationMost) return;
     if (gossip.name == self_) {
         if (gossip.state == PeerState::alive) {
             // Nobody but us raises our incarnation: somebody else has our name.
--- a/src/recovery/keeper.cpp
+++ b/src/recovery/keeper.cpp
@@ -32,7 +32,6 @@
           host_(std::move(host)),
           knowledge_(host_.name, static_cast<std::uint64_t>(wallNow())) {
         hear(host_.known);
-        thread_ = std::thread([this] { run(); });
     }
     ~SnapshotKeeper() override { stop(); }
 
@@ -45,7 +44,24 @@
         }
     }
 
+    // Once it is read, snapshots are written over it.
     std::vector<Input> recalled(Micros now) override {
+        std::vector<Input> out = fromSnapshot(now);
+        if (!thread_.joinable()) thread_ = std::thread([this] { run(); });
+        return out;
+    }
+
+    void stop() override {
+        {
+            const std::lock_guard lock(wake_);
+            if (std::exchange(over_, true)) return;
+        }
+        due_.notify_one();
+        if (thread_.joinable()) thread_.join();
+    }
+
+private:
+    std::vector<Input> fromSnapshot(Micros now) {
         std::string wrong;
         const auto snapshot = readSnapshot(settings_.snapshot, wrong);
         if (!snapshot) {
@@ -84,16 +100,6 @@
         return out;
     }
 
-    void stop() override {
-        {
-            const std::lock_guard lock(wake_);
-            if (std::exchange(over_, true)) return;
-        }
-        due_.notify_one();
-        thread_.join();
-    }
-
-private:
     void hear(const protocol::CatalogNews& news) {
         if (news.whole) list_.clear();
         for (const auto& entry : news.entries) {
@@ -120,6 +126,7 @@
     // otherwise.
     [[nodiscard]] std::vector<Input> held() const {
         routing::ListInput out;
+        out.cached = true;  // of the version that stands already
         out.news.rev = rev_;
         for (const std::string& uid : knowledge_.heldBack()) {
             protocol::CatalogEntry entry = list_.at(uid);
--- a/src/recovery/knowledge.cpp
+++ b/src/recovery/knowledge.cpp
@@ -161,11 +161,16 @@
 
 std::set<std::string> Knowledge::heldBack() const {
     std::set<std::string> out;
-    for (const auto& [box, fact] : others_) {
-        const auto listed = list_.find(box);
-        if (listed == list_.end() || listed->second.state != ServerState::ready) continue;
-        if (fact.version > version_ && fact.state != ServerState::ready) out.insert(box);
+    std::size_t ready = 0;
+    for (const auto& [box, listed] : list_) {
+        if (listed.state != ServerState::ready) continue;
+        ++ready;
+        const auto other = others_.find(box);
+        // Of an earlier boot than our list has it says nothing of this life.
+        if (other == others_.end() || other->second.bootMs < listed.bootMs) continue;
+        if (other->second.version > version_ && other->second.state != ServerState::ready) out.insert(box);
     }
+    if (out.size() == ready) out.clear();
     return out;
 }
 
--- a/src/recovery/knowledge.h
+++ b/src/recovery/knowledge.h
@@ -89,7 +89,8 @@
 
     // Of boxes that our list has ready, with the boot that it has.
     [[nodiscard]] std::vector<RecalledSum> recalled(Micros now) const;
-    // Boxes that our list has ready, and a newer list than ours did not.
+    // Boxes that our list has ready, and a newer list than ours did not. None at all if that would be every
+    // box that is ready: such a list is of another fleet, and no planner may be left without a box.
     [[nodiscard]] std::set<std::string> heldBack() const;
     // What is too old to say anything.
     void forget(Micros now);
--- a/tests/membership/peers_test.cpp
+++ b/tests/membership/peers_test.cpp
@@ -85,6 +85,17 @@
     EXPECT_EQ(events[0].kind, PeerEvent::Kind::twoOfOneName);
 }
 
+TEST(Peers, AnIncarnationThatCantBeDoesNotTakeRefutationAway) {
+    Peers one("n0", 5, {}, 1);
+    const PeerMessage lie{
+        PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", ~std::uint64_t{0}, PeerState::dead}}};
+    (void)one.received(lie, kSecond);
+    EXPECT_EQ(one.incarnation(), 5U);
+    const PeerMessage word{PeerMessage::Kind::ping, "n1", "n0", 2, "", {{"n0", 5, PeerState::suspect}}};
+    (void)one.received(word, kSecond);
+    EXPECT_EQ(one.incarnation(), 6U);
+}
+
 TEST(Peers, MessagesAreBoundedWhateverComes) {
     PeerRules rules;
     rules.membersMost = 50;
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -140,6 +140,19 @@
     EXPECT_TRUE(asker.heldBack().empty());
 }
 
+TEST(Knowledge, NoDonorLeavesUsWithoutABoxOrSpeaksOfALaterBoot) {
+    Knowledge k("me", 1);
+    k.listSays(1, listOf(2, 5));
+    Handover hostile;
+    hostile.listed = {{"box-0", 9, ServerState::gone, 5}, {"box-1", 9, ServerState::gone, 5}};
+    (void)k.merge(hostile, 0, 0);
+    EXPECT_TRUE(k.heldBack().empty()) << "all of them";
+    auto restarted = listOf(2, 5);
+    restarted["box-0"].bootMs = 8;
+    k.listSays(2, restarted);
+    EXPECT_EQ(k.heldBack(), std::set<std::string>{"box-1"}) << "box-0 was started anew since";
+}
+
 TEST(Knowledge, FactsOfAnotherBootAreVoid) {
     Knowledge k("me", 1);
     k.listSays(1, listOf(2, 5));
