--- a/src/attempts/gate.cpp
+++ b/src/attempts/gate.cpp
@@ -31,12 +31,14 @@
 }
 
 void Gate::refused(Micros now, std::optional<Micros> retryAfter) {
-    ++refusals_;
-    trialOut_ = false;
     if (retryAfter) {
         shutUntil_ = std::max(shutUntil_, now + *retryAfter);
         onTrial_ = true;
     }
+    // What went before it was shut says nothing that is not known: only a trial makes the wait longer.
+    if (refusals_ >= settings_.refusalsMost && !trialOut_) return;
+    ++refusals_;
+    trialOut_ = false;
     if (refusals_ < settings_.refusalsMost) return;
     const unsigned doublings = std::min(refusals_ - settings_.refusalsMost, 20U);
     const Micros shut = std::min(settings_.shutLeast << doublings, settings_.shutMost);
--- a/src/replay/plan.cpp
+++ b/src/replay/plan.cpp
@@ -48,6 +48,7 @@
         case NotSent::tooLate: return "it has waited too long";
         case NotSent::noRoom: return "too many wait";
         case NotSent::budget: return "no further try is left";
+        case NotSent::stopped: return "the replay was stopped first";
         case NotSent::count_: break;
     }
     return "?";
@@ -257,8 +258,11 @@
 
 void Plan::stop() {
     stopped_ = true;
-    for (const Item& item : std::exchange(ready_, {})) leave(item, NotSent::tooLate);
-    for (const auto& [at, item] : std::exchange(later_, {})) settle(item.index);
+    // None of it is settled: a run that goes on begins with it.
+    for (const Item& item : std::exchange(ready_, {})) {
+        ++figuresOf(item.send.entry).notSent[static_cast<std::size_t>(NotSent::stopped)];
+    }
+    later_.clear();
 }
 
 std::optional<Micros> Plan::wakeAt(Micros now) const {
--- a/src/replay/plan.h
+++ b/src/replay/plan.h
@@ -37,6 +37,7 @@
     boxRefuses,  // the gate of its box is shut
     tooLate,     // it has waited too long
     noRoom,      // too many wait
+    stopped,     // the replay was stopped before: the run that goes on sends it
     budget,      // a further try for which there is nothing left
     count_
 };
--- a/src/sources/importer.cpp
+++ b/src/sources/importer.cpp
@@ -3,7 +3,10 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <filesystem>
 #include <numeric>
 
 namespace marldale::sources {
@@ -305,7 +308,11 @@
     }
     // Each file for itself, then all of them merged by time.
     Parts parts;
-    const std::string beside = ask.to.empty() ? "marldale-import" : ask.to;
+    const std::string beside =
+        ask.to.empty()
+            ? (std::filesystem::temp_directory_path() / ("marldale-import-" + std::to_string(getpid())))
+                  .string()
+            : ask.to;
     for (std::uint32_t i = 0; i < ask.files.size(); ++i) {
         parts.paths.push_back(beside + "." + std::to_string(i) + ".source");
         trace::Writer writer(parts.paths.back(), headOf(ask.settings));
--- a/src/trace/histogram.h
+++ b/src/trace/histogram.h
@@ -1,4 +1,4 @@
-// Spans of time in logarithmic bins (Boost.Histogram), 32 to an octave of ten: a quantile is right within 4%.
+// Spans of time in logarithmic bins (Boost.Histogram), 64 to a decade: a quantile is right within 4%.
 #pragma once
 
 #include <algorithm>
@@ -35,8 +35,8 @@
 private:
     static constexpr double kLeast = 1, kMost = 1e10;  // a microsecond to three hours
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    decltype(boost::histogram::make_histogram(Axis(320, 1, 1e10))) bins_ =
-        boost::histogram::make_histogram(Axis(320, kLeast, kMost));
+    decltype(boost::histogram::make_histogram(Axis(640, 1, 1e10))) bins_ =
+        boost::histogram::make_histogram(Axis(640, kLeast, kMost));
     std::uint64_t count_ = 0;
     double sum_ = 0, most_ = 0;
 };
--- a/src/trace_program/commands.cpp
+++ b/src/trace_program/commands.cpp
@@ -144,6 +144,10 @@
 
 int importCommand(const ImportAsked& asked) {
     sources::ImportAsk ask;
+    if (asked.follow && asked.files.size() != 1) {
+        std::fprintf(stderr, "--follow reads one file; its rotations are followed too\n");
+        return kMisunderstood;
+    }
     if (!readRules(asked.rules, ask.settings)) return kMisunderstood;
     ask.files = asked.files;
     ask.to = asked.to;
@@ -553,7 +557,20 @@
 
 // The trace as a planner's collectors tell it, at the speed asked for.
 int rehearse(const ReplayAsked& asked) {
+    if (!asked.targets.empty() || !asked.shares.empty() || !asked.journal.empty() ||
+        asked.plan.schedule.loops != 1) {
+        throw std::runtime_error(
+            "--planner goes with --from, --until and --speed, and not with boxes, shares, loops or a "
+            "journal");
+    }
+    if (asked.plannerBoxes.empty() || asked.plannerZones.empty()) {
+        throw std::runtime_error("--planner needs --planner-zones and --planner-boxes");
+    }
     trace::Reader reader(asked.trace);
+    const Micros begins = firstOf(asked.trace);
+    const Micros from = asked.from.empty() ? 0 : momentOf(asked.from, begins);
+    const Micros until = asked.until.empty() ? 0 : momentOf(asked.until, begins);
+    if (from > 0) reader.seek(from);
     const auto planner = transport::parseAddress(asked.planner);
     if (!planner) throw std::runtime_error(asked.planner + " is no address, as 127.0.0.1:5000");
     const std::set<std::string> allowed(asked.allow.begin(), asked.allow.end());
@@ -572,7 +589,14 @@
     Collectors collectors(loop, *planner, settings.zones);
     std::uint64_t entries = 0, messages = 0;
     trace::Entry entry;
-    bool has = reader.next(entry), over = !has;
+    const auto next = [&] {
+        while (reader.next(entry)) {
+            if (until > 0 && entry.at >= until) return false;
+            if (entry.at >= from) return true;
+        }
+        return false;
+    };
+    bool has = next(), over = !has;
     const Micros first = entry.at;
     const auto start = std::chrono::steady_clock::now();
     std::string stopped;
@@ -590,7 +614,7 @@
         while (has && entry.at <= reached) {
             tell(rehearsal.add(entry));
             ++entries;
-            has = reader.next(entry);
+            has = next();
         }
         if (!has && !over) tell(rehearsal.finish());
         if (over || !collectors.broken.empty() || !stopped.empty()) return loop.stop();
--- a/tests/attempts/attempts_test.cpp
+++ b/tests/attempts/attempts_test.cpp
@@ -305,6 +305,16 @@
     EXPECT_EQ(gate.refusals(), 0U);
 }
 
+TEST(Gate, AnswersToWhatWentBeforeItWasShutDoNotMakeTheWaitLonger) {
+    Gate gate({3, 100 * kMs, 10 * kSecond});
+    for (int i = 0; i < 500; ++i) gate.refused(0, std::nullopt);
+    EXPECT_EQ(gate.shutUntil(), 100 * kMs);
+    ASSERT_TRUE(gate.open(100 * kMs));
+    gate.sent();
+    gate.refused(110 * kMs, std::nullopt);
+    EXPECT_EQ(gate.shutUntil(), 310 * kMs);
+}
+
 RC_GTEST_PROP(GateProperty, NeverMoreThanTheAllowedRefusalsInAnySpan, (std::uint32_t seed)) {
     std::mt19937_64 random(seed);
     const Gate::Settings settings{5, 100 * kMs, 2 * kSecond};
--- a/tests/sources/plan_test.cpp
+++ b/tests/sources/plan_test.cpp
@@ -90,6 +90,26 @@
     EXPECT_EQ(rig.plan.settledBefore(), 3U);
 }
 
+TEST(Plan, WhatWaitsWhenItIsStoppedIsSentByTheRunThatGoesOn) {
+    PlanSettings settings;
+    settings.inFlightMost = 1;
+    const std::vector<trace::Entry> all = {entryAt(0, 1), entryAt(0, 2), entryAt(0, 3)};
+    Rig rig(all, settings);
+    rig.plan.begin(0);
+    const auto first = rig.plan.due(0);
+    ASSERT_EQ(first.size(), 1U);
+    rig.plan.stop();
+    EXPECT_FALSE(rig.plan.done());
+    rig.plan.answered(first[0], kServed, std::nullopt, kMs);
+    EXPECT_TRUE(rig.plan.done());
+    EXPECT_EQ(rig.notSent(0, NotSent::stopped), 2U);
+    ASSERT_EQ(rig.plan.settledBefore(), 1U);
+    settings.inFlightMost = 10;
+    Rig next(all, settings);
+    next.plan.begin(0, rig.plan.settledBefore());
+    EXPECT_EQ(next.plan.due(0).size(), 2U);
+}
+
 TEST(Plan, TheRateIsKept) {
     std::vector<trace::Entry> all;
     for (std::uint64_t i = 1; i <= 1000; ++i) all.push_back(entryAt(0, i));
