--- a/bench/standin/peer_network.h
+++ b/bench/standin/peer_network.h
@@ -23,9 +23,10 @@
     static std::string nameOf(int i) { return "n" + std::to_string(i); }
     // Each knows the first one, and nothing else.
     void start(const std::string& name, std::uint64_t incarnation) {
-        auto& node = nodes[name] = std::make_unique<membership::Peers>(name, incarnation, rules_, random_());
-        if (name != "n0") node->know("n0", now);
-        if (name == "n0") node->know("n1", now);
+        auto& node = nodes[name] =
+            std::make_unique<membership::Peers>(name, name, incarnation, rules_, random_());
+        if (name != "n0") node->know("n0", "n0", now);
+        if (name == "n0") node->know("n1", "n1", now);
     }
     void kill(const std::string& name) { nodes.erase(name); }
     void run(Micros span) {
--- a/bench/standin/world.cpp
+++ b/bench/standin/world.cpp
@@ -16,8 +16,9 @@
 constexpr Micros kChannelLeast = 150 * kMs;  // the way of a message, more for some relays
 constexpr Micros kChannelMost = 350 * kMs;
 constexpr Micros kJoinSpread = 3 * kSecond;
-constexpr Micros kAway = 1500 * kMs;  // a relay that restarts
-constexpr Micros kSpoilEvery = 3;     // rows, while reports are spoilt
+constexpr Micros kRedialLeast = 150 * kMs, kRedialSpread = 1450 * kMs;  // after its planner is back
+constexpr Micros kAway = 1500 * kMs;                                    // a relay that restarts
+constexpr Micros kSpoilEvery = 3;                                       // rows, while reports are spoilt
 
 // From 0 to 1; the distributions of the standard library differ from one library to the next.
 double uniform(pcg32& random) { return (random() + 0.5) / 4294967296.0; }
@@ -72,6 +73,7 @@
         relay.joinsAt = kJoinSpread * number / count;
         relays_.push_back(std::move(relay));
     }
+    figures_.resize(static_cast<std::size_t>(settings_.planners));
     marks_.resize(relays_.size());
     messages_.resize(relays_.size());
     messageTimes_.resize(relays_.size());
@@ -131,6 +133,16 @@
                 say(now, RelayBye{number});
             }
             break;
+        case Trouble::Kind::losePlanner:
+            // What they hold stays; they dial again until it is back.
+            for (int number = trouble.subject; number < relays(); number += settings_.planners) {
+                Relay& relay = relays_[static_cast<std::size_t>(number)];
+                relay.joined = false;
+                relay.fresh = false;
+                relay.arriving.clear();
+                relay.joinsAt = trouble.at + trouble.lasts + kRedialLeast + number % 50 * kRedialSpread / 50;
+            }
+            break;
         case Trouble::Kind::spoilReports: spoils_ = true; break;
         case Trouble::Kind::failFast:
             boxes_[static_cast<std::size_t>(trouble.subject)].failsFast = true;
@@ -138,7 +150,8 @@
         case Trouble::Kind::silentBox: boxes_[static_cast<std::size_t>(trouble.subject)].silent = true; break;
     }
     static const char* const kNames[] = {"box replaced",   "relays restarted", "site cut off",
-                                         "reports spoilt", "box fails fast",   "box silent"};
+                                         "reports spoilt", "box fails fast",   "box silent",
+                                         "planner lost"};
     said_.push_back(std::to_string(now / kSecond) + " s: " + kNames[static_cast<int>(trouble.kind)]);
 }
 
@@ -161,7 +174,8 @@
         case Trouble::Kind::spoilReports: spoils_ = false; break;
         case Trouble::Kind::failFast: box.failsFast = false; break;
         case Trouble::Kind::silentBox: box.silent = false; break;
-        case Trouble::Kind::restartRelays: break;
+        case Trouble::Kind::restartRelays:
+        case Trouble::Kind::losePlanner: break;
     }
 }
 
@@ -245,6 +259,27 @@
     return true;
 }
 
+WorldFigures& World::figuresFor(const Relay& relay) {
+    return figures_[static_cast<std::size_t>(plannerOf(static_cast<int>(&relay - relays_.data())))];
+}
+
+WorldFigures World::figures() const {
+    WorldFigures out;
+    for (const WorldFigures& f : figures_) {
+        out.requests += f.requests;
+        out.served += f.served;
+        out.late += f.late;
+        out.failed += f.failed;
+        out.refused += f.refused;
+        out.unpicked += f.unpicked;
+        out.tries += f.tries;
+        out.retries += f.retries;
+        out.effects += f.effects;
+        out.secondEffects += f.secondEffects;
+    }
+    return out;
+}
+
 World::Box* World::pick(Relay& relay, const ClassView& view, const std::string* but, double chance) {
     double total = 0;
     const auto open = [&](const std::string& box) {
@@ -269,7 +304,8 @@
 
 World::Outcome World::attempt(Relay& relay, Box& box, const WorldClass& k, double work, Micros at,
                               Micros& took) {
-    ++figures_.tries;
+    WorldFigures& figures = figuresFor(relay);
+    ++figures.tries;
     const bool apart = box.site != relay.site && (cut(box.site) || cut(relay.site));
     if (box.state == BoxState::gone) {
         took = kMs;
@@ -291,12 +327,13 @@
         return Outcome::failedUnknown;
     }
     box.busyUntil = std::max(box.busyUntil, at) + std::llround(each);
-    if (k.mustNotRepeat) ++figures_.effects;
+    if (k.mustNotRepeat) ++figures.effects;
     return Outcome::served;
 }
 
 void World::serve(Relay& relay, Micros at) {
     const auto number = static_cast<int>(&relay - relays_.data());
+    WorldFigures& figures = figuresFor(relay);
     // All of a request's chance is drawn first, whatever becomes of it.
     const double kind = uniform(relay.picks), size = exponential(relay.picks);
     const double chance[2] = {uniform(relay.picks), uniform(relay.picks)};
@@ -310,7 +347,7 @@
         }
     }
     const double work = static_cast<double>(k->work) * (0.5 + 0.5 * size);
-    ++figures_.requests;
+    ++figures.requests;
     Came& came = came_[{number, k->name}];
     ++came.came;
     const auto view = relay.view.find(k->name);
@@ -323,40 +360,40 @@
     }
     const ClassView& mine = view == relay.view.end() ? standing : view->second;
     if (!admitted(relay, k->name, mine.level, at)) {
-        ++figures_.refused;
+        ++figures.refused;
         return;
     }
     Box* box = pick(relay, mine, nullptr, chance[0]);
     if (box == nullptr) {
-        ++figures_.unpicked;
+        ++figures.unpicked;
         ++came.failed;
         return;
     }
-    const std::uint64_t before = figures_.effects;
+    const std::uint64_t before = figures.effects;
     std::string tried;
     for (int n = 0; n < 2 && box != nullptr; ++n) {
         Micros took = 0;
         const Outcome outcome = attempt(relay, *box, *k, work, at, took);
-        Sum& sum = sums_[{relay.site, box->uid}];
+        Sum& sum = sums_[{plannerOf(number), relay.site, box->uid}];
         ++sum.tries;
         if (outcome == Outcome::served) {
             sum.time += took;
-            took <= settings_.giveUp / 3 ? ++figures_.served : ++figures_.late;
+            took <= settings_.giveUp / 3 ? ++figures.served : ++figures.late;
             break;
         }
         ++sum.failed;
         // Another box only after proof, where the planner has said so.
         const bool again = n == 0 && outcome == Outcome::refusedUnrun && mine.level.retryMode >= 1;
         if (!again) {
-            ++figures_.failed;
+            ++figures.failed;
             ++came.failed;
             break;
         }
-        ++figures_.retries;
+        ++figures.retries;
         tried = box->uid;
         box = pick(relay, mine, &tried, chance[1]);
     }
-    if (figures_.effects > before + 1) ++figures_.secondEffects;
+    if (figures.effects > before + 1) ++figures.secondEffects;
 }
 
 void World::report(Micros now) {
@@ -366,10 +403,11 @@
     };
     auto spoil = spoilt;
     for (const auto& [key, sum] : sums_) {
-        if (cut(key.first)) continue;  // its collector is cut off as well
+        const auto& [planner, site, box] = key;
+        if (cut(site)) continue;  // its collector is cut off as well
         const Micros mean = sum.tries > sum.failed ? sum.time / (sum.tries - sum.failed) : 0;
-        say(now + settings_.reportLate, SumRow{settings_.sites[static_cast<std::size_t>(key.first)],
-                                               key.second, sum.tries, sum.failed, mean, over, spoil()});
+        say(now + settings_.reportLate, SumRow{settings_.sites[static_cast<std::size_t>(site)], box,
+                                               sum.tries, sum.failed, mean, over, spoil(), planner});
     }
     for (const auto& [key, came] : came_) {
         const Relay& relay = relays_[static_cast<std::size_t>(key.first)];
--- a/bench/standin/world.h
+++ b/bench/standin/world.h
@@ -17,6 +17,7 @@
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -37,6 +38,7 @@
     std::vector<std::string> sites = {"regina", "moose-jaw", "swift-current"};
     int boxesPerSite = 10, relaysPerSite = 50;
     int coresPerBox = 2;
+    int planners = 1;           // relays are theirs in turn
     double requestsPerS = 200;  // of all relays; a tenth of them brings half
     std::vector<WorldClass> classes = {{"image-fetch", 0.6, 110 * kMs, false},
                                        {"cutout", 0.25, 190 * kMs, false},
@@ -73,7 +75,8 @@
     std::string site, box;
     std::uint32_t tries = 0, failed = 0;
     Micros mean = 0, over = 0;
-    int spoilt = 0;  // 0: it is not; else a way in which the collector spoils it
+    int spoilt = 0;   // 0: it is not; else a way in which the collector spoils it
+    int planner = 0;  // whose relays met this
 };
 struct DemandRow {
     std::string site;  // whose collector tells it
@@ -103,10 +106,10 @@
 // ---- Troubles, by name ----
 
 struct Trouble {
-    enum class Kind { replaceBox, restartRelays, cutSite, spoilReports, failFast, silentBox };
+    enum class Kind { replaceBox, restartRelays, cutSite, spoilReports, failFast, silentBox, losePlanner };
     Kind kind = Kind::replaceBox;
     Micros at = 0, lasts = 0;
-    int subject = 0;  // a box, a site, or how many relays
+    int subject = 0;  // a box, a site, a planner, or how many relays
 };
 
 struct MarkSeen {  // a relay has applied a message that asked for an answer
@@ -140,7 +143,11 @@
     // The list at the start.
     [[nodiscard]] std::vector<ListChange> list() const;
 
-    [[nodiscard]] const WorldFigures& figures() const { return figures_; }
+    [[nodiscard]] WorldFigures figures() const;
+    [[nodiscard]] const WorldFigures& figuresOf(int planner) const {
+        return figures_[static_cast<std::size_t>(planner)];
+    }
+    [[nodiscard]] int plannerOf(int relay) const { return relay % settings_.planners; }
     // By relay: marks in the order they were applied, and the messages in each ten seconds.
     [[nodiscard]] const std::vector<std::vector<MarkSeen>>& marks() const { return marks_; }
     [[nodiscard]] const std::vector<std::map<Micros, int>>& messages() const { return messages_; }
@@ -196,6 +203,7 @@
     void requests(Relay& relay, int number, Micros now);
     void serve(Relay& relay, Micros at);
     [[nodiscard]] bool admitted(Relay& relay, const std::string& className, const Level& level, Micros at);
+    [[nodiscard]] WorldFigures& figuresFor(const Relay& relay);
     [[nodiscard]] Box* pick(Relay& relay, const ClassView& view, const std::string* but, double chance);
     [[nodiscard]] Outcome attempt(Relay& relay, Box& box, const WorldClass& k, double work, Micros at,
                                   Micros& took);
@@ -214,10 +222,10 @@
     std::set<int> cutSites_;
     bool spoils_ = false;
     int born_ = 0;
-    std::map<std::pair<int, std::string>, Sum> sums_;   // by the relays' site and box
-    std::map<std::pair<int, std::string>, Came> came_;  // by relay and class
+    std::map<std::tuple<int, int, std::string>, Sum> sums_;  // by planner, the relays' site, and box
+    std::map<std::pair<int, std::string>, Came> came_;       // by relay and class
     std::vector<Due> due_;
-    WorldFigures figures_;
+    std::vector<WorldFigures> figures_;  // by planner
     std::vector<std::vector<MarkSeen>> marks_;
     std::vector<std::map<Micros, int>> messages_;
     std::vector<std::vector<Micros>> messageTimes_;
--- a/clients/cpp/marldale/session.h
+++ b/clients/cpp/marldale/session.h
@@ -50,6 +50,11 @@
         return call_ != nullptr;
     }
     // As if the connection had broken.
+    // Until all that was said has gone to the library, or the stream has ended; no longer than `most`.
+    void drain(std::chrono::milliseconds most) const {
+        std::unique_lock lock(mutex_);
+        idle_.wait_for(lock, most, [this] { return !call_ || call_->broken || call_->drained(); });
+    }
     void breakOff() {
         const std::lock_guard lock(mutex_);
         if (call_) call_->context.TryCancel();
@@ -112,6 +117,7 @@
             last = true;
             writeNext();
         }
+        [[nodiscard]] bool drained() const { return !writing && waiting.empty(); }
         void writeNext() {
             if (writing || broken) return;
             if (waiting.empty()) {
@@ -128,6 +134,7 @@
             writing = false;
             broken = !ok;
             writeNext();
+            if (drained()) owner.idle_.notify_all();
         }
         void OnReadDone(bool ok) override {
             const std::lock_guard lock(owner.mutex_);
@@ -195,7 +202,7 @@
 
     const Start start_;
     const Redial redial_;
-    std::condition_variable_any idle_;
+    mutable std::condition_variable_any idle_;
     std::shared_ptr<Call> call_;
     bool open_ = false, alarmSet_ = false;
     int failures_ = 0, busy_ = 0;
--- a/cmake/grpc.cmake
+++ b/cmake/grpc.cmake
@@ -13,7 +13,7 @@
 
 set(PROTO_OUT ${PROJECT_BINARY_DIR}/proto)
 set(PROTO_SOURCES)
-foreach(name common reports assignments)
+foreach(name common reports assignments peers)
   set(stem ${PROTO_OUT}/marldale/v1/${name})
   add_custom_command(
     OUTPUT ${stem}.pb.cc ${stem}.pb.h ${stem}.grpc.pb.cc ${stem}.grpc.pb.h
@@ -30,8 +30,10 @@
 target_link_libraries(marldale_proto PUBLIC PkgConfig::GRPC)
 
 add_library(marldale_grpc_front STATIC
-  src/grpc/assign_stream.cpp src/grpc/convert.cpp src/grpc/credentials.cpp src/grpc/report_stream.cpp
+  src/grpc/assign_stream.cpp src/grpc/convert.cpp src/grpc/credentials.cpp src/grpc/peer_links.cpp src/grpc/peer_stream.cpp
+  src/grpc/report_stream.cpp
   src/grpc/server.cpp)
+target_include_directories(marldale_grpc_front PUBLIC clients/cpp)
 target_link_libraries(marldale_grpc_front PUBLIC marldale_proto marldale_dispatch marldale_membership marldale_protocol)
 
 # It brings its own copy of the few functions that it shares with the planner, so these are built to be loadable.
--- a/cmake/recovery.cmake
+++ b/cmake/recovery.cmake
@@ -1,13 +1,14 @@
 # What is known of the boxes and handed over, and which instances there are; no I/O.
 pkg_check_modules(ZSTD REQUIRED IMPORTED_TARGET libzstd)
-add_library(marldale_recovery STATIC src/recovery/codec.cpp src/recovery/knowledge.cpp src/recovery/snapshot.cpp)
-target_include_directories(marldale_recovery PUBLIC src)
-target_link_libraries(marldale_recovery PRIVATE PkgConfig::ZSTD)
 add_library(marldale_peers STATIC src/membership/peers.cpp)
 target_include_directories(marldale_peers PUBLIC src)
+add_library(marldale_recovery STATIC src/recovery/asking.cpp src/recovery/codec.cpp src/recovery/knowledge.cpp
+  src/recovery/memory.cpp src/recovery/snapshot.cpp)
+target_include_directories(marldale_recovery PUBLIC src)
+target_link_libraries(marldale_recovery PUBLIC marldale_peers PRIVATE PkgConfig::ZSTD)
 
 # The keeper: a module that the planner loads only when its settings ask for it.
-set_target_properties(marldale_recovery marldale_protocol marldale_dispatch marldale_membership marldale_wire marldale_policy PROPERTIES
+set_target_properties(marldale_recovery marldale_peers marldale_protocol marldale_dispatch marldale_membership marldale_wire marldale_policy PROPERTIES
   POSITION_INDEPENDENT_CODE ON)
 add_library(marldale_knowledge MODULE src/recovery/keeper.cpp)
 set_target_properties(marldale_knowledge PROPERTIES PREFIX "" CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
--- a/src/grpc/convert.cpp
+++ b/src/grpc/convert.cpp
@@ -82,6 +82,8 @@
     }
 };
 
+constexpr std::size_t kStatesMost = 64;  // in a word
+
 }  // namespace
 
 std::optional<protocol::Outcomes> readOutcomes(const v1::Outcomes& row, const std::string& server,
@@ -153,6 +155,43 @@
                          static_cast<std::int64_t>(answer.took_us())};
 }
 
+v1::PeerWord writeWord(const membership::PeerMessage& message) {
+    v1::PeerWord out;
+    out.set_kind(static_cast<v1::PeerWord::Kind>(static_cast<int>(message.kind) + 1));
+    out.set_from(message.from);
+    out.set_to(message.to);
+    out.set_number(message.number);
+    out.set_about(message.about);
+    for (const membership::Gossip& gossip : message.gossip) {
+        v1::PeerState& state = *out.add_states();
+        state.set_name(gossip.name);
+        state.set_incarnation(gossip.incarnation);
+        state.set_state(static_cast<v1::PeerState::State>(static_cast<int>(gossip.state) + 1));
+        state.set_address(gossip.address);
+    }
+    return out;
+}
+
+std::optional<membership::PeerMessage> readWord(const v1::PeerWord& word) {
+    if (word.kind() < v1::PeerWord::PING || word.kind() > v1::PeerWord::LEAVE) return std::nullopt;
+    if (!isNodeId(word.from()) || !isNodeId(word.to())) return std::nullopt;
+    if (!word.about().empty() && !isNodeId(word.about())) return std::nullopt;
+    membership::PeerMessage out{static_cast<membership::PeerMessage::Kind>(word.kind() - 1),
+                                word.from(),
+                                word.to(),
+                                word.number(),
+                                word.about(),
+                                {}};
+    for (const v1::PeerState& state : word.states()) {
+        if (out.gossip.size() >= kStatesMost) break;
+        if (state.state() < v1::PeerState::ALIVE || state.state() > v1::PeerState::LEFT) continue;
+        if (!isNodeId(state.name()) || (!state.address().empty() && !isNodeId(state.address()))) continue;
+        out.gossip.push_back({state.name(), state.incarnation(),
+                              static_cast<membership::PeerState>(state.state() - 1), state.address()});
+    }
+    return out;
+}
+
 bool isNodeId(const std::string& id) {
     return !id.empty() && id.size() <= kNodeIdMost &&
            std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > ' ' && c <= '~'; });
--- a/src/grpc/convert.h
+++ b/src/grpc/convert.h
@@ -7,7 +7,9 @@
 
 #include "dispatch/lane.h"
 #include "marldale/v1/assignments.pb.h"
+#include "marldale/v1/peers.pb.h"
 #include "marldale/v1/reports.pb.h"
+#include "membership/peers.h"
 #include "routing/inputs.h"
 
 namespace marldale::grpc_front {
@@ -24,6 +26,10 @@
 [[nodiscard]] std::optional<protocol::Hello> readJoined(const v1::RelayJoined& joined, std::string& why);
 [[nodiscard]] std::optional<protocol::Ack> readAnswer(const v1::RelayAnswer& answer);
 
+[[nodiscard]] v1::PeerWord writeWord(const membership::PeerMessage& message);
+// Nothing if it is of a later version, or no word at all.
+[[nodiscard]] std::optional<membership::PeerMessage> readWord(const v1::PeerWord& word);
+
 // A name that may stand in the log and in memory: 1 to 128 printable bytes.
 [[nodiscard]] bool isNodeId(const std::string& id);
 
--- a/src/grpc/credentials.cpp
+++ b/src/grpc/credentials.cpp
@@ -117,7 +117,8 @@
 }  // namespace
 
 Keys readKeys(const routing::FrontSettings& settings) {
-    Keys out{read(settings.certificate), read(settings.key), read(settings.clientsCa)};
+    Keys out{read(settings.certificate), read(settings.key), read(settings.clientsCa), ""};
+    out.peersCa = settings.peersCa.empty() ? out.clientsCa : read(settings.peersCa);
     const Bio keyText = bioOf(out.key);
     const PrivateKey key(PEM_read_bio_PrivateKey(keyText.get(), nullptr, nullptr, nullptr));
     if (!key) throw std::runtime_error(settings.key + ": holds no private key without a password");
@@ -134,6 +135,9 @@
     if (sk_X509_num(certificatesIn(out.clientsCa).get()) == 0) {
         throw std::runtime_error(settings.clientsCa + ": holds no certificate");
     }
+    if (sk_X509_num(certificatesIn(out.peersCa).get()) == 0) {
+        throw std::runtime_error(settings.peersCa + ": holds no certificate");
+    }
     return out;
 }
 
--- a/src/grpc/credentials.h
+++ b/src/grpc/credentials.h
@@ -17,7 +17,7 @@
 
 // PEM texts that fit together: the key belongs to the certificate, and the certificate is in force.
 struct Keys {
-    std::string certificate, key, clientsCa;
+    std::string certificate, key, clientsCa, peersCa;
 };
 
 // Reads and checks the files; throws std::runtime_error with the file and what is wrong with it.
--- a/src/grpc/server.cpp
+++ b/src/grpc/server.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 
 #include "grpc/assign_stream.h"
+#include "grpc/peer_stream.h"
 #include "grpc/report_stream.h"
 
 namespace marldale::grpc_front {
@@ -72,6 +73,7 @@
                              plain_ ? ::grpc::InsecureServerCredentials() : credentialsOf(*ring_), &port_);
     builder.RegisterService(&reports_);
     builder.RegisterService(&assignments_);
+    if (host_.ear != nullptr) builder.RegisterService(&peers_);
     builder.SetMaxReceiveMessageSize(kMessageMost);
     builder.SetResourceQuota(::grpc::ResourceQuota("marldale").Resize(settings.memoryMost));
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
@@ -97,6 +99,10 @@
     wakeTag_.done = [this](bool) { runPosted(); };
     listenForReports();
     listenForAssignments();
+    if (host_.ear != nullptr) {
+        listenForPeers();
+        links_ = std::make_unique<PeerLinks>(*host_.ear, [this] { return credentialsForPeers(); });
+    }
     armTick();
     thread_ = std::thread([this] { run(); });
     host_.log("grpc", std::string("listening on ") + settings.listen.substr(0, settings.listen.rfind(':')) +
@@ -138,6 +144,17 @@
     if (!stopping_) streams_.push_back(std::make_unique<AssignStream>(*this, assignments_));
 }
 
+void Server::listenForPeers() {
+    const std::lock_guard lock(mutex_);
+    if (!stopping_) streams_.push_back(std::make_unique<PeerStream>(*this, peers_));
+}
+
+std::shared_ptr<::grpc::ChannelCredentials> Server::credentialsForPeers() {
+    if (plain_) return ::grpc::InsecureChannelCredentials();
+    const auto keys = ring_->now();
+    return ::grpc::SslCredentials({keys->peersCa, keys->key, keys->certificate});
+}
+
 void Server::armTick() {
     const std::lock_guard lock(mutex_);
     if (!stopping_) tickAlarm_.Set(queue_.get(), std::chrono::system_clock::now() + kTickEvery, &tickTag_);
@@ -285,6 +302,7 @@
 
 void Server::stop(std::int64_t withinMs) {
     if (!thread_.joinable()) return;
+    if (links_) links_->close();
     const auto deadline = std::chrono::system_clock::now() + std::chrono::milliseconds(withinMs);
     // Peers have half of the time to read their goodbye.
     post([this, until = now() + withinMs * 1000 / 2] {
--- a/src/grpc/server.h
+++ b/src/grpc/server.h
@@ -13,8 +13,10 @@
 #include <vector>
 
 #include "grpc/credentials.h"
+#include "grpc/peer_links.h"
 #include "grpc/stream.h"
 #include "marldale/v1/assignments.grpc.pb.h"
+#include "marldale/v1/peers.grpc.pb.h"
 #include "marldale/v1/reports.grpc.pb.h"
 #include "membership/report_ledger.h"
 #include "membership/report_pacer.h"
@@ -41,6 +43,7 @@
     [[nodiscard]] std::uint16_t port() const override { return static_cast<std::uint16_t>(port_); }
     void carryOut(std::vector<routing::FrontCommand> commands) override;
     void renew(const routing::FrontSettings& settings) override;
+    [[nodiscard]] routing::PeerLink* peers() override { return links_.get(); }
     void stop(std::int64_t withinMs) override;
 
     // ---- For the streams, in the queue's thread ----
@@ -66,6 +69,11 @@
     // Each has a client now: another one waits for the next.
     void reportsOpened() { listenForReports(); }
     void assignmentsOpened() { listenForAssignments(); }
+    void peersOpened() { listenForPeers(); }
+    // Instances that are being handed a copy of what is known.
+    [[nodiscard]] std::size_t askers() const { return askers_; }
+    void askerCame() { ++askers_; }
+    void askerWent() { --askers_; }
     [[nodiscard]] Micros helloWithin() const { return helloWithin_; }
     [[nodiscard]] bool full() const { return open_ > streamsMost_; }
     void opened() { ++open_; }
@@ -75,6 +83,8 @@
 private:
     void listenForReports();
     void listenForAssignments();
+    void listenForPeers();
+    [[nodiscard]] std::shared_ptr<::grpc::ChannelCredentials> credentialsForPeers();
     void run();
     void tick();
     void armTick();
@@ -94,6 +104,8 @@
 
     v1::LoadReports::AsyncService reports_;
     v1::Assignments::AsyncService assignments_;
+    v1::Peers::AsyncService peers_;
+    std::unique_ptr<PeerLinks> links_;
     std::unique_ptr<::grpc::ServerCompletionQueue> queue_;
     std::unique_ptr<::grpc::Server> server_;
     int port_ = 0;
@@ -107,7 +119,7 @@
     std::deque<routing::Input> orphans_;
     dispatch::LaneId lastLane_ = 0;
     routing::SourceId lastSource_ = 0;
-    std::size_t open_ = 0;
+    std::size_t open_ = 0, askers_ = 0;
     ::grpc::Alarm tickAlarm_;
     Tag tickTag_;
 
--- a/src/grpc/stream.h
+++ b/src/grpc/stream.h
@@ -76,7 +76,8 @@
 
     virtual void onOpened() = 0;  // a client has opened it
     virtual void onRequest(Request& request) = 0;
-    virtual void onOver() = 0;  // it has ended, however; called once, if it was opened
+    virtual void onDrained() {}  // all that was to be written is written
+    virtual void onOver() = 0;   // it has ended, however; called once, if it was opened
 
     // To be called once, to wait for a client.
     template <class Ask>
@@ -155,7 +156,9 @@
         --pending_;
         writing_ = false;
         if (!ok) writes_.clear();
-        ending_ ? finishIfIdle() : writeNext();
+        if (ending_) return finishIfIdle();
+        writeNext();
+        if (!writing_ && !over_ && !closed_) onDrained();
     }
     void finishIfIdle() {
         if (!ending_ || writing_ || finishing_ || over_ || closed_) return;
--- a/src/membership/passport.h
+++ b/src/membership/passport.h
@@ -19,7 +19,9 @@
     std::vector<std::string> zones;                   // it may report for, and hold relays of; `*`: all
     std::vector<std::string> boxes;                   // it may report as; a trailing `*` stands for any end
     std::vector<std::pair<ProxyId, ProxyId>> relays;  // it may hold, from and to
+    bool peer = false;                                // it is an instance of the planner
 
+    [[nodiscard]] bool mayBePeer() const { return everything || peer; }
     [[nodiscard]] bool mayReport(std::string_view zone) const;
     [[nodiscard]] bool mayReportAs(std::string_view box) const;
     [[nodiscard]] bool mayHold(ProxyId relay, std::string_view zone) const;
--- a/src/membership/peers.cpp
+++ b/src/membership/peers.cpp
@@ -11,7 +11,8 @@
 
 using Kind = PeerMessage::Kind;
 
-// No start has such a one; above it a refutation would have no number left.
+// No start has such an incarnation; above it a refutation would have no number left.
+constexpr std::size_t kNameMost = 128;
 constexpr std::uint64_t kIncarnationMost = std::uint64_t{1} << 62U;
 
 bool isOver(PeerState state) { return state == PeerState::dead || state == PeerState::left; }
@@ -21,8 +22,10 @@
 
 }  // namespace
 
-Peers::Peers(std::string self, std::uint64_t incarnation, PeerRules rules, std::uint64_t seed)
+Peers::Peers(std::string self, std::string address, std::uint64_t incarnation, PeerRules rules,
+             std::uint64_t seed)
     : self_(std::move(self)),
+      address_(std::move(address)),
       incarnation_(incarnation),
       firstIncarnation_(incarnation),
       rules_(rules),
@@ -35,10 +38,15 @@
 
 double Peers::logOfMembers() const { return std::log2(static_cast<double>(members_.size()) + 2); }
 
-void Peers::know(const std::string& name, Micros now) {
+void Peers::know(const std::string& name, const std::string& address, Micros now) {
     if (name == self_ || members_.count(name) != 0 || members_.size() >= rules_.membersMost) return;
     // Incarnation 0: it has not been heard yet, and any word of its own counts more.
-    members_[name] = {0, PeerState::alive, now, 0};
+    members_[name] = {0, PeerState::alive, address, now, 0, false};
+}
+
+std::string Peers::addressOf(const std::string& name) const {
+    const auto at = members_.find(name);
+    return at == members_.end() ? std::string() : at->second.address;
 }
 
 std::map<std::string, PeerState> Peers::members() const {
@@ -57,13 +65,15 @@
 
 std::vector<PeerEvent> Peers::takeEvents() { return std::exchange(events_, {}); }
 
-void Peers::set(const std::string& name, std::uint64_t incarnation, PeerState state, Micros now) {
+void Peers::set(const std::string& name, std::uint64_t incarnation, PeerState state, Micros now,
+                const std::string& address) {
     const auto known = members_.find(name);
     const bool fresh = known == members_.end();
     if (fresh && members_.size() >= rules_.membersMost) return;
     const PeerState before = fresh ? PeerState::left : known->second.state;
     const bool unheard = fresh || known->second.incarnation == 0;
-    members_[name] = {incarnation, state, now, 0};
+    std::string at = address.empty() && !fresh ? known->second.address : address;
+    members_[name] = {incarnation, state, std::move(at), now, 0, !fresh && known->second.doubled};
     if (state == PeerState::alive) {
         if (isOver(before) || unheard)
             event(PeerEvent::Kind::joined, name);
@@ -76,7 +86,9 @@
 }
 
 void Peers::hear(const Gossip& gossip, Micros now) {
-    if (gossip.name.empty() || gossip.name.size() > 128 || gossip.incarnation > kIncarnationMost) return;
+    if (gossip.name.empty() || gossip.name.size() > kNameMost || gossip.address.size() > kNameMost ||
+        gossip.incarnation > kIncarnationMost)
+        return;
     if (gossip.name == self_) {
         if (gossip.state == PeerState::alive) {
             // Nobody but us raises our incarnation: somebody else has our name.
@@ -94,25 +106,25 @@
     const auto known = members_.find(gossip.name);
     if (known == members_.end()) {
         // Of the dead nobody needs to hear for the first time.
-        if (!isOver(gossip.state)) set(gossip.name, gossip.incarnation, gossip.state, now);
+        if (!isOver(gossip.state)) set(gossip.name, gossip.incarnation, gossip.state, now, gossip.address);
         return;
     }
     const Member& m = known->second;
     const bool newer = gossip.incarnation > m.incarnation;
     const bool graver = gossip.incarnation == m.incarnation && gravity(gossip.state) > gravity(m.state);
-    if (newer || graver) set(gossip.name, gossip.incarnation, gossip.state, now);
+    if (newer || graver) set(gossip.name, gossip.incarnation, gossip.state, now, gossip.address);
 }
 
 void Peers::addGossip(std::vector<Gossip>& into, const std::string& to) {
     const auto most = static_cast<unsigned>(std::ceil(rules_.toldTimes * (logOfMembers() + 1)));
     if (incarnation_ != firstIncarnation_ && selfTold_ < most) ++selfTold_;
     // Its own word is always among them: it is how others know its incarnation.
-    into.push_back({self_, incarnation_, gone_ ? PeerState::left : PeerState::alive});
+    into.push_back({self_, incarnation_, gone_ ? PeerState::left : PeerState::alive, address_});
     // Whom we suspect, or take for dead, must hear of it first of all: only it can refute.
     const auto target = members_.find(to);
     if (target != members_.end() && target->second.state != PeerState::alive &&
         target->second.incarnation > 0) {
-        into.push_back({to, target->second.incarnation, target->second.state});
+        into.push_back({to, target->second.incarnation, target->second.state, target->second.address});
     }
     std::vector<std::pair<unsigned, std::string>> open;
     for (const auto& [name, m] : members_) {
@@ -123,7 +135,7 @@
         if (into.size() >= rules_.gossipMost) return;
         Member& m = members_.at(name);
         ++m.told;
-        into.push_back({name, m.incarnation, m.state});
+        into.push_back({name, m.incarnation, m.state, m.address});
     }
     // Where there is room left, anybody: so that who has just come learns of all, and a partition that ends
     // is found.
@@ -134,7 +146,7 @@
     while (into.size() < rules_.gossipMost && !others.empty()) {
         const std::size_t at = random(static_cast<std::uint32_t>(others.size()));
         const Member& m = members_.at(others[at]);
-        into.push_back({others[at], m.incarnation, m.state});
+        into.push_back({others[at], m.incarnation, m.state, m.address});
         others.erase(others.begin() + static_cast<std::ptrdiff_t>(at));
     }
 }
@@ -214,9 +226,24 @@
     return out;
 }
 
+// Who speaks for itself from another place, in a life that is over by what we know, is not the one we know.
+void Peers::noteDouble(const PeerMessage& m) {
+    const auto known = members_.find(m.from);
+    if (known == members_.end() || known->second.state != PeerState::alive || known->second.doubled) return;
+    for (const Gossip& g : m.gossip) {
+        if (g.name != m.from || g.state != PeerState::alive || g.incarnation >= known->second.incarnation ||
+            g.address == known->second.address)
+            continue;
+        known->second.doubled = true;
+        event(PeerEvent::Kind::twoOfOneName, m.from);
+        return;
+    }
+}
+
 std::vector<PeerMessage> Peers::received(const PeerMessage& m, Micros now) {
     std::vector<PeerMessage> out;
     if (gone_ || m.to != self_) return out;
+    noteDouble(m);
     for (std::size_t i = 0; i < m.gossip.size() && i < rules_.gossipIn; ++i) hear(m.gossip[i], now);
     switch (m.kind) {
         case Kind::ping: out.push_back(message(Kind::ack, m.from, m.number)); break;
--- a/src/membership/peers.h
+++ b/src/membership/peers.h
@@ -18,12 +18,19 @@
 
 namespace marldale::membership {
 
+// How an instance is called, and where it is reached: HOST:PORT.
+struct PeerPlace {
+    std::string name, address;
+    bool operator==(const PeerPlace&) const = default;
+};
+
 enum class PeerState : std::uint8_t { alive, suspect, dead, left };
 
 struct Gossip {
     std::string name;
     std::uint64_t incarnation = 0;  // a start's time, raised by refutations
     PeerState state = PeerState::alive;
+    std::string address = {};  // where it is reached, as it says itself
     bool operator==(const Gossip&) const = default;
 };
 
@@ -39,9 +46,9 @@
 struct PeerRules {
     Micros period = 1000000;
     Micros ackWithin = 300000;  // then others are asked
-    unsigned askedMost = 3;
-    double suspicionPeriods = 3;  // times log2 of the members, and one
-    unsigned gossipMost = 8;      // in a message
+    unsigned askedMost = 5;
+    double suspicionPeriods = 2;  // times log2 of the members, and one
+    unsigned gossipMost = 16;     // in a message
     double toldTimes = 3;         // times log2 of the members, and one: how often each change is told
     std::size_t membersMost = 1000;
     Micros deadKept = 60 * 1000000LL;
@@ -59,10 +66,14 @@
 public:
     // `incarnation`: of this start; must be higher than at any earlier start, the wall clock's seconds for
     // instance.
-    Peers(std::string self, std::uint64_t incarnation, PeerRules rules, std::uint64_t seed);
+    Peers(std::string self, std::string address, std::uint64_t incarnation, PeerRules rules,
+          std::uint64_t seed);
 
+    // Where this one is reached, if that was not known at once.
+    void reachedAt(const std::string& address) { address_ = address; }
     // Someone to begin with, as settings name it.
-    void know(const std::string& name, Micros now);
+    void know(const std::string& name, const std::string& address, Micros now);
+    [[nodiscard]] std::string addressOf(const std::string& name) const;  // empty: nobody knows
 
     [[nodiscard]] std::vector<PeerMessage> tick(Micros now);
     [[nodiscard]] std::vector<PeerMessage> received(const PeerMessage& message, Micros now);
@@ -80,8 +91,10 @@
     struct Member {
         std::uint64_t incarnation = 0;
         PeerState state = PeerState::alive;
+        std::string address;
         Micros since = 0;
-        unsigned told = 0;  // times that this was gossiped
+        unsigned told = 0;     // times that this was gossiped
+        bool doubled = false;  // another one of this name was heard too
     };
     struct Probe {
         std::string name;
@@ -95,7 +108,9 @@
         Micros until = 0;
     };
     void hear(const Gossip& gossip, Micros now);
-    void set(const std::string& name, std::uint64_t incarnation, PeerState state, Micros now);
+    void noteDouble(const PeerMessage& message);
+    void set(const std::string& name, std::uint64_t incarnation, PeerState state, Micros now,
+             const std::string& address = {});
     [[nodiscard]] PeerMessage message(PeerMessage::Kind kind, const std::string& to, std::uint64_t number,
                                       const std::string& about = {});
     void addGossip(std::vector<Gossip>& into, const std::string& to);
@@ -107,6 +122,7 @@
     void event(PeerEvent::Kind kind, const std::string& name) { events_.push_back({kind, name}); }
 
     const std::string self_;
+    std::string address_;
     std::uint64_t incarnation_;
     const std::uint64_t firstIncarnation_;
     const PeerRules rules_;
--- a/src/program/daemon.cpp
+++ b/src/program/daemon.cpp
@@ -80,8 +80,9 @@
     enter(Phase::serving);
     serve();
     loop_.run();
-    if (front_) front_->stop(kFrontEndsWithinMs);
+    // The keeper's last words go out through the front; what still comes in is heard until that has ended.
     if (keeper_) keeper_->stop();
+    if (front_) front_->stop(kFrontEndsWithinMs);
     planner_.reset();  // before the parties that it calls
     enter(Phase::ended);
     log_.flush();
@@ -113,10 +114,7 @@
 
 std::function<bool(routing::Input)> Daemon::toModule() {
     return [this](routing::Input input) {
-        if (!keeper_) return planner_->post(std::move(input));
-        const bool taken = planner_->post(input);
-        if (taken) keeper_->took(input, steadyMicros());
-        return taken;
+        return keeper_ ? keeper_->pass(std::move(input), steadyMicros()) : planner_->post(std::move(input));
     };
 }
 
@@ -151,14 +149,15 @@
 void Daemon::remember() {
     routing::KeeperHost host;
     host.log = logger_;
+    host.post = [this](routing::Input input) { return planner_->post(std::move(input)); };
     host.name = config_.name;
+    host.seed = config_.settings.seed;
     host.known = config_.known;
     host.reportEvery = config_.settings.reportEvery;
     const std::string module =
         own_.knowledge.module.empty() ? frontModuleBeside("marldale_knowledge.so") : own_.knowledge.module;
-    auto keeper = loadKeeper(module, own_.knowledge.keeper, std::move(host));
-    for (routing::Input& input : keeper->recalled(steadyMicros())) (void)planner_->post(std::move(input));
-    keeper_ = std::move(keeper);
+    keeper_ = loadKeeper(module, own_.knowledge.keeper, std::move(host));
+    keeper_->begin(steadyMicros());
 }
 
 void Daemon::openFront() {
@@ -172,9 +171,12 @@
     host.epoch = epoch_;
     host.pace.least = config_.settings.reportEvery;
     host.pace.rowsPerS = config_.settings.reportsPerS;
+    const bool shares = keeper_ && own_.knowledge.keeper.share;
+    if (shares) host.ear = keeper_.get();
     const std::string module =
         own_.grpc.module.empty() ? frontModuleBeside("marldale_grpc.so") : own_.grpc.module;
     front_ = loadFront(module, own_.grpc.front, std::move(host));
+    if (shares) keeper_->connect(front_->peers(), front_->port());
 }
 
 // SIGHUP: both files are read before anything is taken from either. The addresses of relay and discovery are
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -55,6 +55,8 @@
     file("key", &routing::FrontSettings::key, "the planner's private key, PEM, without a password");
     file("clients_ca", &routing::FrontSettings::clientsCa,
          "who must have signed a client's certificate, PEM");
+    file("peers_ca", &routing::FrontSettings::peersCa,
+         "who must have signed the certificate of another instance, PEM; else clients_ca");
     schema.key("grpc", "plain_text", Type::choice)
         .oneOf({"loopback", "anywhere"})
         .otherwise("loopback")
@@ -88,6 +90,37 @@
             knowledge.on = true;
             knowledge.keeper.snapshot = v.text;
         });
+    schema.key("knowledge", "share", Type::choice)
+        .oneOf({"no", "yes"})
+        .otherwise("no")
+        .means("other instances may ask what is known, and are asked at the start; needs [grpc] listen")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.keeper.share = v.text == "yes";
+            knowledge.on = knowledge.on || knowledge.keeper.share;
+        });
+    schema.key("knowledge", "address", Type::address)
+        .otherwise("127.0.0.1 and the port of [grpc] listen")
+        .means("where other instances reach this one")
+        .to([&knowledge](const std::string&, const Value& v) { knowledge.keeper.address = v.text; });
+    schema.key("knowledge", "ask_for_s", Type::whole)
+        .range("s", 1, 600)
+        .otherwise("10")
+        .means("from the start: nobody is asked later, and what is recalled later is not told to the module")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.keeper.askFor = v.whole() * 1000000;
+        });
+    schema.key("knowledge", "hold_most_s", Type::whole)
+        .range("s", 1, 3600)
+        .otherwise("60")
+        .means("a box that a newer list is said to have lost is held back so long, if that list never comes")
+        .to([&knowledge](const std::string&, const Value& v) {
+            knowledge.keeper.holdMost = v.whole() * 1000000;
+        });
+    schema.key("peer *", "address", Type::address)
+        .means("where the instance of this name is reached; others are found through it")
+        .to([&knowledge](const std::string& name, const Value& v) {
+            knowledge.keeper.peers.push_back({name, v.text});
+        });
     schema.key("knowledge", "module", Type::file)
         .otherwise("marldale_knowledge.so beside the program")
         .means("the module that keeps it")
@@ -113,6 +146,14 @@
         .takenLive()
         .means("zones that this identity may report for and hold relays of; `*`: all")
         .to([&passports](const std::string& name, const Value& v) { passports.all()[name].zones = v.items; });
+    schema.key("identity *", "peer", Type::choice)
+        .oneOf({"no", "yes"})
+        .otherwise("no")
+        .takenLive()
+        .means("whether it is an instance of the planner, which may ask what is known")
+        .to([&passports](const std::string& name, const Value& v) {
+            passports.all()[name].peer = v.text == "yes";
+        });
     schema.key("identity *", "boxes", Type::list)
         .takenLive()
         .means("servers that it may report as, by uid; a trailing `*` stands for any end")
@@ -141,6 +182,12 @@
         out.push_back("[grpc] listen = " + front.listen +
                       " is not loopback: name certificate, key and clients_ca, or say plain_text = anywhere");
     }
+    if (own.knowledge.keeper.share && !own.grpc.on) {
+        out.emplace_back("[knowledge] share = yes needs [grpc] listen: instances talk over that front");
+    }
+    if (!own.knowledge.keeper.share && !own.knowledge.keeper.peers.empty()) {
+        out.emplace_back("there is a [peer NAME], and [knowledge] share is not yes: it would not be asked");
+    }
     if (files == 3 && front.passports.empty()) {
         out.emplace_back("[grpc] has certificates, and there is no [identity NAME]: nobody could speak");
     }
--- a/src/program/settings.h
+++ b/src/program/settings.h
@@ -30,7 +30,7 @@
 };
 
 struct KnowledgeSettings {
-    bool on = false;
+    bool on = false;     // a snapshot is kept, or knowledge is shared
     std::string module;  // empty: beside the program
     routing::KeeperSettings keeper;
 };
--- a/src/recovery/codec.cpp
+++ b/src/recovery/codec.cpp
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 #include <zstd.h>
 
+#include <bit>
+#include <cmath>
 #include <map>
 
 #include "bytes/varint.h"
@@ -19,8 +21,9 @@
 
 constexpr std::string_view kMagic = "MRLK";
 constexpr std::uint32_t kVersion = 1;
-constexpr std::size_t kHead = 24, kTextMost = 256, kFactsMost = 200000;
-constexpr std::uint64_t kSums = 1, kListed = 2;
+constexpr std::size_t kHead = 24, kTextMost = 256, kFactsMost = 200000, kLoadsMost = 64;
+// 1 and 2 were the first forms of sums and list.
+constexpr std::uint64_t kSums = 3, kListed = 4, kDemand = 5;
 constexpr int kZstdLevel = 3;
 
 // Names, each written once.
@@ -49,7 +52,7 @@
 
 std::string plainOf(const Handover& handover) {
     Names names;
-    std::string sums, listed;
+    std::string sums, listed, demand;
     putVar(sums, handover.sums.size());
     for (const SumFact& f : handover.sums) {
         for (const std::string* name : {&f.origin, &f.box, &f.zone}) putVar(sums, names.of(*name));
@@ -60,6 +63,12 @@
         putVar(sums, f.tries);
         putVar(sums, f.failed);
         putVar(sums, static_cast<std::uint64_t>(f.mean));
+        putVar(sums, static_cast<std::uint64_t>(f.failsFor));
+        putVar(sums, f.load.size());
+        for (const auto& [name, value] : f.load) {
+            putVar(sums, names.of(name));
+            putFixed<std::uint64_t>(sums, std::bit_cast<std::uint64_t>(value));
+        }
     }
     putVar(listed, handover.listed.size());
     for (const ListedFact& f : handover.listed) {
@@ -67,12 +76,23 @@
         putVar(listed, f.version);
         putVar(listed, static_cast<std::uint64_t>(f.state));
         putVar(listed, static_cast<std::uint64_t>(f.bootMs));
+        putVar(listed, static_cast<std::uint64_t>(f.since));
+    }
+    putVar(demand, handover.demand.size());
+    for (const DemandFact& f : handover.demand) {
+        for (const std::string* name : {&f.origin, &f.zone, &f.klass}) putVar(demand, names.of(*name));
+        putVar(demand, f.word.incarnation);
+        putVar(demand, f.word.number);
+        putVar(demand, static_cast<std::uint64_t>(f.age));
+        putFixed<std::uint64_t>(demand, std::bit_cast<std::uint64_t>(f.rate));
+        putVar(demand, f.proxies);
     }
     std::string out;
     putText(out, handover.from);
     putText(out, names.section());
     putSection(out, kSums, sums);
     putSection(out, kListed, listed);
+    putSection(out, kDemand, demand);
     return out;
 }
 
@@ -84,6 +104,19 @@
     return in.good() && in.empty();
 }
 
+bool readName(Reader& in, const std::vector<std::string>& names, std::string& out) {
+    const std::uint64_t which = in.var();
+    if (which >= names.size()) return false;
+    out = names[which];
+    return true;
+}
+
+// What is no number is 0.
+double readDouble(Reader& in) {
+    const double out = std::bit_cast<double>(in.fixed());
+    return std::isfinite(out) ? out : 0;
+}
+
 bool readSums(std::string_view section, const std::vector<std::string>& names, Handover& out) {
     Reader in(section, kTextMost);
     const std::uint64_t count = in.var();
@@ -91,9 +124,7 @@
     for (std::uint64_t i = 0; i < count && in.good(); ++i) {
         SumFact f;
         for (std::string* name : {&f.origin, &f.box, &f.zone}) {
-            const std::uint64_t which = in.var();
-            if (which >= names.size()) return false;
-            *name = names[which];
+            if (!readName(in, names, *name)) return false;
         }
         f.bootMs = static_cast<std::int64_t>(in.var());
         f.word.incarnation = in.var();
@@ -102,6 +133,14 @@
         f.tries = static_cast<std::uint32_t>(in.var());
         f.failed = static_cast<std::uint32_t>(in.var());
         f.mean = static_cast<Micros>(in.var());
+        f.failsFor = static_cast<Micros>(in.var());
+        const std::uint64_t loads = in.var();
+        if (loads > kLoadsMost) return false;
+        for (std::uint64_t l = 0; l < loads && in.good(); ++l) {
+            std::string name;
+            if (!readName(in, names, name)) return false;
+            f.load[name] = readDouble(in);
+        }
         if (in.good()) out.sums.push_back(std::move(f));
     }
     return in.good() && in.empty();
@@ -112,13 +151,12 @@
     const std::uint64_t count = in.var();
     if (count > kFactsMost) return false;
     for (std::uint64_t i = 0; i < count && in.good(); ++i) {
-        const std::uint64_t which = in.var();
-        if (which >= names.size()) return false;
         ListedFact f;
-        f.box = names[which];
+        if (!readName(in, names, f.box)) return false;
         f.version = in.var();
         const std::uint64_t state = in.var();
         f.bootMs = static_cast<std::int64_t>(in.var());
+        f.since = static_cast<Micros>(in.var());
         // A state of a later version is the most careful one.
         f.state = state <= 2 ? static_cast<ServerState>(state) : ServerState::gone;
         if (in.good()) out.listed.push_back(std::move(f));
@@ -126,6 +164,25 @@
     return in.good() && in.empty();
 }
 
+bool readDemand(std::string_view section, const std::vector<std::string>& names, Handover& out) {
+    Reader in(section, kTextMost);
+    const std::uint64_t count = in.var();
+    if (count > kFactsMost) return false;
+    for (std::uint64_t i = 0; i < count && in.good(); ++i) {
+        DemandFact f;
+        for (std::string* name : {&f.origin, &f.zone, &f.klass}) {
+            if (!readName(in, names, *name)) return false;
+        }
+        f.word.incarnation = in.var();
+        f.word.number = in.var();
+        f.age = static_cast<Micros>(in.var());
+        f.rate = readDouble(in);
+        f.proxies = static_cast<std::uint32_t>(in.var());
+        if (in.good()) out.demand.push_back(std::move(f));
+    }
+    return in.good() && in.empty();
+}
+
 }  // namespace
 
 bool decodePlain(std::string_view plain, Handover& out) {
@@ -138,6 +195,7 @@
         const std::string_view section = in.text();
         if (kind == kSums && !readSums(section, names, out)) return false;
         if (kind == kListed && !readListed(section, names, out)) return false;
+        if (kind == kDemand && !readDemand(section, names, out)) return false;
     }
     return in.good();
 }
--- a/src/routing/front.h
+++ b/src/routing/front.h
@@ -14,6 +14,7 @@
 #include "routing/inputs.h"
 #include "routing/junction.h"
 #include "routing/logger.h"
+#include "routing/peer_link.h"
 
 namespace marldale::routing {
 
@@ -22,6 +23,8 @@
     // Without files the front speaks plain text, which is for loopback, or where it is allowed in so many
     // words.
     std::string certificate, key, clientsCa;
+    std::string
+        peersCa;  // who must have signed the certificate of an instance that is dialled; empty: clientsCa
     membership::Passports passports;
     std::size_t streamsMost = 1200;  // open at once
     std::int64_t keepaliveMs =
@@ -40,6 +43,7 @@
     std::uint32_t proxies = 0;
     std::uint64_t epoch = 1;
     membership::PacerRules pace;
+    PeerEar* ear = nullptr;  // other instances may talk to us; it must outlive the front
 };
 
 class Front {
@@ -54,6 +58,8 @@
     virtual void carryOut(std::vector<FrontCommand> commands) = 0;
     // Takes new keys and passports; throws std::runtime_error, and keeps the old ones, if they can't be used.
     virtual void renew(const FrontSettings& settings) = 0;
+    // To other instances; null if there is no ear for them.
+    [[nodiscard]] virtual PeerLink* peers() { return nullptr; }
     // Tells every peer, and ends within this time; nothing is posted any more once it returns.
     virtual void stop(std::int64_t withinMs) = 0;
 };
--- a/src/routing/translator.cpp
+++ b/src/routing/translator.cpp
@@ -91,6 +91,8 @@
 
 void Translator::list(const ListInput& input, std::vector<Event>& out) {
     const protocol::CatalogNews& news = input.news;
+    // Holds are of the version that stands; a newer list has overtaken those of an older one.
+    if (input.cached && !news.whole && news.rev != rev_) return;
     // A list that goes backwards would bring servers back that have gone.
     if (!input.cached && news.rev <= rev_) {
         if (news.rev < rev_ || !news.entries.empty()) {
--- a/src/trace_program/knowledge_commands.cpp
+++ b/src/trace_program/knowledge_commands.cpp
@@ -46,10 +46,14 @@
         nlohmann::json out{{"from", snapshot.handover.from},
                            {"written", written},
                            {"boxes", nlohmann::json::array()},
+                           {"demand", nlohmann::json::array()},
                            {"sums", nlohmann::json::array()}};
         for (const auto& l : snapshot.handover.listed) {
-            out["boxes"].push_back(
-                {{"box", l.box}, {"state", name(l.state)}, {"version", l.version}, {"boot_ms", l.bootMs}});
+            out["boxes"].push_back({{"box", l.box},
+                                    {"state", name(l.state)},
+                                    {"version", l.version},
+                                    {"boot_ms", l.bootMs},
+                                    {"since_s", seconds(l.since)}});
         }
         for (const SumFact& f : snapshot.handover.sums) {
             out["sums"].push_back({{"box", f.box},
@@ -58,7 +62,17 @@
                                    {"age_s", seconds(f.age)},
                                    {"tries", f.tries},
                                    {"failed", f.failed},
-                                   {"mean_ms", static_cast<double>(f.mean) / 1000}});
+                                   {"mean_ms", static_cast<double>(f.mean) / 1000},
+                                   {"fails_for_s", seconds(f.failsFor)},
+                                   {"load", f.load}});
+        }
+        for (const auto& d : snapshot.handover.demand) {
+            out["demand"].push_back({{"zone", d.zone},
+                                     {"class", d.klass},
+                                     {"origin", d.origin},
+                                     {"age_s", seconds(d.age)},
+                                     {"per_s", d.rate},
+                                     {"proxies", d.proxies}});
         }
         std::printf("%s\n", out.dump(2).c_str());
         return kRight;
@@ -67,15 +81,24 @@
                 snapshot.handover.listed.size(), snapshot.handover.sums.size());
     for (const auto& l : snapshot.handover.listed) {
         if (l.state != ServerState::ready) {
-            std::printf("  %s is %s by version %llu\n", l.box.c_str(), name(l.state),
-                        static_cast<unsigned long long>(l.version));
+            std::printf("  %s is %s by version %llu, since %.0f s before\n", l.box.c_str(), name(l.state),
+                        static_cast<unsigned long long>(l.version), seconds(l.since));
         }
     }
-    std::printf("%-24s %-12s %-12s %8s %8s %8s %10s\n", "box", "from zone", "seen by", "age s", "tries",
-                "failed", "mean ms");
+    std::printf("%-24s %-12s %-12s %8s %8s %8s %10s %10s\n", "box", "from zone", "seen by", "age s", "tries",
+                "failed", "mean ms", "fails for");
     for (const SumFact& f : snapshot.handover.sums) {
-        std::printf("%-24s %-12s %-12s %8.1f %8u %8u %10.1f\n", f.box.c_str(), f.zone.c_str(),
-                    f.origin.c_str(), seconds(f.age), f.tries, f.failed, static_cast<double>(f.mean) / 1000);
+        std::printf("%-24s %-12s %-12s %8.1f %8u %8u %10.1f", f.box.c_str(), f.zone.c_str(), f.origin.c_str(),
+                    seconds(f.age), f.tries, f.failed, static_cast<double>(f.mean) / 1000);
+        std::printf(f.failsFor > 0 ? " %8.0f s\n" : "\n", seconds(f.failsFor));
+    }
+    if (!snapshot.handover.demand.empty()) {
+        std::printf("%-24s %-12s %-12s %8s %8s %8s\n", "class", "zone", "seen by", "age s", "per s",
+                    "proxies");
+    }
+    for (const auto& d : snapshot.handover.demand) {
+        std::printf("%-24s %-12s %-12s %8.1f %8.1f %8u\n", d.klass.c_str(), d.zone.c_str(), d.origin.c_str(),
+                    seconds(d.age), d.rate, d.proxies);
     }
     return kRight;
 }
--- a/tests/grpc/forwarder.h
+++ b/tests/grpc/forwarder.h
@@ -1,5 +1,5 @@
 // Carries TCP between a client and a server on loopback, until it is told to fall silent: then both ends stay
-// open and nothing passes any more, as when a machine vanishes.
+// open and nothing passes any more, as when a machine vanishes; or cuts a connection in its middle.
 #pragma once
 
 #include <arpa/inet.h>
@@ -31,6 +31,9 @@
 
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     void fallSilent() { silent_ = true; }
+    void silentAfter(std::size_t bytes) { silentAfter_ = bytes; }
+    // The connection on which so many bytes have passed, in both directions, is cut there.
+    void cutAfter(std::size_t bytes) { cutAfter_ = bytes; }
 
 private:
     int listening() {
@@ -74,7 +77,9 @@
         if (at == peers_.end()) return;
         std::array<char, 16384> piece{};
         const ssize_t got = recv(from, piece.data(), piece.size(), 0);
-        if (got > 0) {
+        carried_ += got > 0 ? static_cast<std::size_t>(got) : 0;
+        if (carried_ >= silentAfter_) silent_ = true;
+        if (got > 0 && carried_ < cutAfter_) {
             (void)send(at->second, piece.data(), static_cast<std::size_t>(got), MSG_NOSIGNAL);
             return;
         }
@@ -89,6 +94,8 @@
     std::uint16_t port_ = 0;
     const int listener_;
     std::map<int, int> peers_;
+    std::size_t carried_ = 0;
+    std::atomic<std::size_t> cutAfter_ = ~std::size_t{0}, silentAfter_ = ~std::size_t{0};
     std::atomic<bool> silent_ = false, ends_ = false;
     std::thread thread_;
 };
--- a/tests/grpc/parties.h
+++ b/tests/grpc/parties.h
@@ -28,7 +28,8 @@
 class GrpcPlanner {
 public:
     explicit GrpcPlanner(const protocol::Config& config,
-                         const routing::FrontSettings& settings = plainFront())
+                         const routing::FrontSettings& settings = plainFront(),
+                         routing::PeerEar* ear = nullptr)
         : config_(config) {
         routing::PlannerThread::Outlets outlets;
         outlets.call = [this](const routing::OrderCall& call) {
@@ -62,6 +63,7 @@
         host.loadFields = config.settings.loadFields;
         host.proxies = config.settings.proxies;
         host.epoch = 77;
+        host.ear = ear;
         host.pace.least = config.settings.reportEvery;
         host.pace.rowsPerS = config.settings.reportsPerS;
         auto made = std::make_unique<grpc_front::Server>(settings, std::move(host));
--- a/tests/membership/peers_test.cpp
+++ b/tests/membership/peers_test.cpp
@@ -56,7 +56,7 @@
     net.run(20 * kSecond);
     // One is cut off for a little: long enough to be suspected, too short to be dead.
     net.apart = {"n2"};
-    net.run(7 * kSecond);
+    net.run(5 * kSecond);
     EXPECT_GT(net.count(PeerEvent::Kind::suspected, "n2"), 0U);
     net.apart.clear();
     net.run(20 * kSecond);
@@ -76,22 +76,39 @@
 }
 
 TEST(Peers, TwoOfOneNameAreNoticed) {
-    Peers one("n0", 5, {}, 1);
-    one.know("n1", 0);
-    const PeerMessage other{PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", 9, PeerState::alive}}};
+    Peers one("n0", "n0", 5, {}, 1);
+    one.know("n1", "n1", 0);
+    const PeerMessage other{PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", 9, PeerState::alive, "x"}}};
     (void)one.received(other, kSecond);
     const auto events = one.takeEvents();
     ASSERT_EQ(events.size(), 1U);
     EXPECT_EQ(events[0].kind, PeerEvent::Kind::twoOfOneName);
 }
 
+TEST(Peers, TwoOfOneNameAtTwoPlacesAreNoticedByOthers) {
+    Peers one("n0", "n0", 5, {}, 1);
+    const auto says = [](const std::string& address, std::uint64_t incarnation) {
+        return PeerMessage{
+            PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n1", incarnation, PeerState::alive, address}}};
+    };
+    (void)one.received(says("a:1", 7), kSecond);
+    (void)one.received(says("b:1", 9), 2 * kSecond);  // started anew, elsewhere
+    EXPECT_EQ(one.takeEvents().size(), 1U) << "it joined";
+    for (int i = 0; i < 3; ++i) (void)one.received(says("a:1", 7), 3 * kSecond);
+    const auto events = one.takeEvents();
+    ASSERT_EQ(events.size(), 1U) << "told once";
+    EXPECT_EQ(events[0].kind, PeerEvent::Kind::twoOfOneName);
+    EXPECT_EQ(events[0].name, "n1");
+    EXPECT_EQ(one.addressOf("n1"), "b:1");
+}
+
 TEST(Peers, AnIncarnationThatCantBeDoesNotTakeRefutationAway) {
-    Peers one("n0", 5, {}, 1);
+    Peers one("n0", "n0", 5, {}, 1);
     const PeerMessage lie{
-        PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", ~std::uint64_t{0}, PeerState::dead}}};
+        PeerMessage::Kind::ping, "n1", "n0", 1, "", {{"n0", ~std::uint64_t{0}, PeerState::dead, ""}}};
     (void)one.received(lie, kSecond);
     EXPECT_EQ(one.incarnation(), 5U);
-    const PeerMessage word{PeerMessage::Kind::ping, "n1", "n0", 2, "", {{"n0", 5, PeerState::suspect}}};
+    const PeerMessage word{PeerMessage::Kind::ping, "n1", "n0", 2, "", {{"n0", 5, PeerState::suspect, ""}}};
     (void)one.received(word, kSecond);
     EXPECT_EQ(one.incarnation(), 6U);
 }
@@ -99,7 +116,7 @@
 TEST(Peers, MessagesAreBoundedWhateverComes) {
     PeerRules rules;
     rules.membersMost = 50;
-    Peers one("n0", 5, rules, 1);
+    Peers one("n0", "n0", 5, rules, 1);
     PeerMessage flood{PeerMessage::Kind::ping, "n1", "n0", 1, "", {}};
     for (int round = 0; round < 20; ++round) {
         flood.gossip.clear();
@@ -107,7 +124,7 @@
             flood.gossip.push_back({"x" + std::to_string(round * 1000 + i), 1, PeerState::alive});
         const auto out = one.received(flood, kSecond);
         ASSERT_EQ(out.size(), 1U);
-        EXPECT_LE(out[0].gossip.size(), 9U);
+        EXPECT_LE(out[0].gossip.size(), rules.gossipMost + 1);
     }
     EXPECT_LE(one.members().size(), 50U);
 }
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -41,8 +41,22 @@
         f.tries = 10 + static_cast<std::uint32_t>(says % 50);
         f.failed = static_cast<std::uint32_t>(says % 10);
         f.mean = static_cast<Micros>(says) * 1000;
+        f.failsFor = says % 10 > 5 ? static_cast<Micros>(says) : 0;
+        if (says % 3 == 0) f.load = {{"util", 0.5}, {"queue", static_cast<double>(says)}};
         out.sums.push_back(f);
     }
+    for (std::uint64_t i = random() % 4; i > 0; --i) {
+        DemandFact f{"n" + std::to_string(random() % 4),
+                     random() % 2 == 0 ? "a" : "b",
+                     "lookup",
+                     {1 + random() % 2, random() % 3},
+                     static_cast<Micros>(random() % 20) * kSecond};
+        const std::uint64_t says =
+            f.word.incarnation * 7 + f.word.number * 13 + f.zone.back() + f.origin.back();
+        f.rate = static_cast<double>(says) / 8;
+        f.proxies = 1 + static_cast<std::uint32_t>(says % 5);
+        out.demand.push_back(f);
+    }
     for (std::uint64_t i = random() % 4; i > 0; --i) {
         out.listed.push_back(
             {"box-" + std::to_string(random() % 3), random() % 6, static_cast<ServerState>(random() % 3), 5});
@@ -59,7 +73,7 @@
 
 Knowledge fresh() {
     Knowledge out("me", 1);
-    out.listSays(2, listOf(3));
+    out.listSays(2, listOf(3), 0);
     return out;
 }
 
@@ -75,8 +89,9 @@
         if (random() % 2 == 0) (void)two.merge(h, 0, kSecond);
     }
     RC_ASSERT(pictureOf(one, kSecond) == pictureOf(two, kSecond));
-    RC_ASSERT(one.heldBack() == two.heldBack());
+    RC_ASSERT(one.heldBack(0) == two.heldBack(0));
     RC_ASSERT(one.handOver(kSecond).sums == two.handOver(kSecond).sums);
+    RC_ASSERT(one.handOver(kSecond).demand == two.handOver(kSecond).demand);
 }
 
 RC_GTEST_PROP(KnowledgeProperty, PassingOnNeverAddsWeightHoweverOftenItGoesRound, (std::uint32_t seed)) {
@@ -85,10 +100,10 @@
     std::vector<Knowledge> ring;
     for (int i = 0; i < 4; ++i) {
         ring.emplace_back("n" + std::to_string(i), 1);
-        ring.back().listSays(2, listOf(3));
+        ring.back().listSays(2, listOf(3), 0);
     }
-    ring[0].saw("box-0", "a", 5, 40, 4, 90000, 0);
-    ring[1].saw("box-0", "a", 5, 30, 0, 70000, 0);
+    ring[0].saw({"box-0", "a", 5, 40, 4, 90000}, 0);
+    ring[1].saw({"box-0", "a", 5, 30, 0, 70000}, 0);
     Micros now = 0;
     double most = 1e9;
     for (int turn = 0; turn < 60; ++turn) {
@@ -113,10 +128,10 @@
     auto list = listOf(3);
     list["box-1"].state = ServerState::draining;
     list.erase("box-2");
-    k.listSays(2, list);
+    k.listSays(2, list, 0);
     for (int i = 0; i < 8; ++i) (void)k.merge(randomHandover(random), 0, kSecond);
     for (const RecalledSum& r : k.recalled(kSecond)) RC_ASSERT(r.box == "box-0");
-    for (const std::string& box : k.heldBack()) RC_ASSERT(box == "box-0");
+    for (const std::string& box : k.heldBack(0)) RC_ASSERT(box == "box-0");
 }
 
 TEST(Knowledge, ABoxThatANewerListSawDrainingIsHeldBackUntilOursHasThatVersion) {
@@ -124,44 +139,44 @@
     auto later = listOf(3);
     later["box-1"].state = ServerState::draining;
     later["box-2"].state = ServerState::gone;
-    donor.listSays(9, later);
-    asker.listSays(5, listOf(3));
+    donor.listSays(9, later, 0);
+    asker.listSays(5, listOf(3), 0);
     (void)asker.merge(donor.handOver(0), 0, 0);
-    EXPECT_EQ(asker.heldBack(), (std::set<std::string>{"box-1", "box-2"}));
-    asker.listSays(8, listOf(3));
-    EXPECT_EQ(asker.heldBack().size(), 2U);
-    asker.listSays(9, later);
-    EXPECT_TRUE(asker.heldBack().empty()) << "our own list says so itself now";
+    EXPECT_EQ(asker.heldBack(0), (std::set<std::string>{"box-1", "box-2"}));
+    asker.listSays(8, listOf(3), 0);
+    EXPECT_EQ(asker.heldBack(0).size(), 2U);
+    asker.listSays(9, later, 0);
+    EXPECT_TRUE(asker.heldBack(0).empty()) << "our own list says so itself now";
     // An older list than ours holds nothing back.
     Knowledge behind("n3", 1);
-    behind.listSays(3, later);
-    asker.listSays(10, listOf(3));
+    behind.listSays(3, later, 0);
+    asker.listSays(10, listOf(3), 0);
     (void)asker.merge(behind.handOver(0), 0, 0);
-    EXPECT_TRUE(asker.heldBack().empty());
+    EXPECT_TRUE(asker.heldBack(0).empty());
 }
 
 TEST(Knowledge, NoDonorLeavesUsWithoutABoxOrSpeaksOfALaterBoot) {
     Knowledge k("me", 1);
-    k.listSays(1, listOf(2, 5));
+    k.listSays(1, listOf(2, 5), 0);
     Handover hostile;
     hostile.listed = {{"box-0", 9, ServerState::gone, 5}, {"box-1", 9, ServerState::gone, 5}};
     (void)k.merge(hostile, 0, 0);
-    EXPECT_TRUE(k.heldBack().empty()) << "all of them";
+    EXPECT_TRUE(k.heldBack(0).empty()) << "all of them";
     auto restarted = listOf(2, 5);
     restarted["box-0"].bootMs = 8;
-    k.listSays(2, restarted);
-    EXPECT_EQ(k.heldBack(), std::set<std::string>{"box-1"}) << "box-0 was started anew since";
+    k.listSays(2, restarted, 0);
+    EXPECT_EQ(k.heldBack(0), std::set<std::string>{"box-1"}) << "box-0 was started anew since";
 }
 
 TEST(Knowledge, FactsOfAnotherBootAreVoid) {
     Knowledge k("me", 1);
-    k.listSays(1, listOf(2, 5));
-    k.saw("box-0", "a", 5, 50, 0, 1000, 0);
+    k.listSays(1, listOf(2, 5), 0);
     Handover ahead;
+    ahead.sums.push_back({"n1", "box-0", "a", 5, {1, 1}, 0, 50, 0, 1000});
     ahead.sums.push_back({"n1", "box-1", "a", 9, {1, 1}, 0, 50, 0, 1000});
     (void)k.merge(ahead, 0, 0);
     EXPECT_EQ(k.recalled(0).size(), 1U) << "of a boot that our list does not have yet";
-    k.listSays(2, listOf(2, 9));
+    k.listSays(2, listOf(2, 9), 0);
     const auto now = k.recalled(0);
     ASSERT_EQ(now.size(), 1U);
     EXPECT_EQ(now[0].box, "box-1") << "and of one that is over";
@@ -169,7 +184,7 @@
 
 TEST(Knowledge, LiveEvidenceOutweighsWhatWasRecalledWithinThreeReports) {
     Knowledge k("me", 1);
-    k.listSays(1, listOf(1));
+    k.listSays(1, listOf(1), 0);
     Handover lie;  // a hostile peer under many names
     for (int i = 0; i < 100; ++i)
         lie.sums.push_back({"n" + std::to_string(i), "box-0", "a", 5, {1, 1}, 0, 10'000'000, 10'000'000, 0});
@@ -186,7 +201,7 @@
 
 TEST(Knowledge, WhatCantBeIsRefusedAndOurOwnSightIsNotToldToUs) {
     Knowledge k("me", 7);
-    k.listSays(1, listOf(1));
+    k.listSays(1, listOf(1), 0);
     Handover h;
     const SumFact good{"n1", "box-0", "a", 5, {1, 1}, 0, 50, 5, 1000};
     for (int kind = 0; kind < 9; ++kind) {
@@ -211,14 +226,83 @@
 
 TEST(Knowledge, TheWholeAskingCountsAsAge) {
     Knowledge donor("n1", 1), asker("n2", 1);
-    donor.listSays(1, listOf(1));
-    asker.listSays(1, listOf(1));
-    donor.saw("box-0", "a", 5, 64, 0, 1000, 100 * kSecond);
+    donor.listSays(1, listOf(1), 0);
+    asker.listSays(1, listOf(1), 0);
+    donor.saw({"box-0", "a", 5, 64, 0, 1000}, 100 * kSecond);
     // Their clocks have nothing in common.
     (void)asker.merge(donor.handOver(110 * kSecond), 10 * kSecond, 5 * kSecond);
     EXPECT_NEAR(asker.recalled(5 * kSecond)[0].tries, 32, 0.01) << "twenty seconds old";
 }
 
+TEST(Knowledge, AFewTriesInARowThatTellOtherwiseBeginANewSum) {
+    Knowledge k("n1", 1);
+    k.listSays(1, listOf(1), 0);
+    for (int i = 0; i < 50; ++i) k.saw({"box-0", "a", 5, 2, 0, 1000}, i * 2 * kSecond);
+    k.saw({"box-0", "a", 5, 2, 2, 0}, 100 * kSecond);
+    EXPECT_EQ(k.handOver(100 * kSecond).sums[0].failed, 0U) << "two may be chance";
+    k.saw({"box-0", "a", 5, 2, 2, 0}, 102 * kSecond);
+    auto fact = k.handOver(102 * kSecond).sums[0];
+    EXPECT_EQ(fact.tries, 4U);
+    EXPECT_EQ(fact.failed, 4U);
+    EXPECT_EQ(fact.failsFor, 2 * kSecond);
+    // It is ejected: a trial now and then is all that comes, and it goes on failing.
+    for (int i = 1; i <= 5; ++i) k.saw({"box-0", "a", 5, 1, 1, 0}, (102 + 8 * i) * kSecond);
+    fact = k.handOver(142 * kSecond).sums[0];
+    EXPECT_EQ(fact.tries, 9U) << "evidence does not go away because there are few tries";
+    EXPECT_EQ(fact.failsFor, 42 * kSecond);
+    k.saw({"box-0", "a", 5, 5, 0, 2000}, 144 * kSecond);
+    fact = k.handOver(144 * kSecond).sums[0];
+    EXPECT_EQ(fact.failed, 0U);
+    EXPECT_EQ(fact.failsFor, 0);
+    EXPECT_EQ(fact.mean, 2000) << "what was before is not in it";
+}
+
+TEST(Knowledge, AClaimedListThatNeverComesHoldsNothingBackForGood) {
+    Knowledge k("me", 1);
+    k.listSays(1, listOf(3), 0);
+    Handover lie;
+    lie.listed = {{"box-0", 1ULL << 60U, ServerState::draining, 5}};
+    (void)k.merge(lie, 0, kSecond);
+    EXPECT_EQ(k.heldBack(60 * kSecond).size(), 1U);
+    lie.listed[0].version += 1;  // said again and again it is no new claim
+    (void)k.merge(lie, 0, 50 * kSecond);
+    EXPECT_TRUE(k.heldBack(61 * kSecond).empty());
+}
+
+TEST(Knowledge, WhatThisLifeHasSeenForItselfIsNotRecalled) {
+    Knowledge k("me", 2);
+    k.listSays(1, listOf(2), 0);
+    Handover h;
+    h.sums = {{"n1", "box-0", "a", 5, {1, 1}, 0, 50, 50, 0},
+              {"me", "box-0", "a", 5, {1, 1}, 0, 50, 50, 0},
+              {"me", "box-1", "a", 5, {1, 2}, 0, 50, 0, 1000}};
+    (void)k.merge(h, 0, 0);
+    EXPECT_EQ(k.recalled(0).size(), 2U) << "of its last life too";
+    k.saw({"box-0", "a", 5, 1, 0, 1000}, kSecond);
+    const auto left = k.recalled(kSecond);
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_EQ(left[0].box, "box-1");
+}
+
+TEST(Knowledge, DemandIsAddedUpOverProxiesAndGoesWithThem) {
+    Knowledge k("n1", 1), other("n2", 1);
+    k.came(1, "a", "lookup", 10, 0);
+    k.came(2, "a", "lookup", 5, kSecond);
+    k.came(3, "b", "lookup", 2, kSecond);
+    auto demand = k.handOver(2 * kSecond).demand;
+    ASSERT_EQ(demand.size(), 2U);
+    EXPECT_EQ(demand[0].rate, 15);
+    EXPECT_EQ(demand[0].proxies, 2U);
+    EXPECT_EQ(demand[0].age, kSecond);
+    EXPECT_EQ(other.merge(k.handOver(2 * kSecond), 0, 0).taken, 2U);
+    EXPECT_EQ(other.merge(k.handOver(2 * kSecond), 0, 0).known, 2U);
+    EXPECT_EQ(other.handOver(0).demand.size(), 2U);
+    k.left(1);
+    EXPECT_EQ(k.handOver(2 * kSecond).demand[0].rate, 5);
+    EXPECT_TRUE(k.handOver(60 * kSecond).demand.empty()) << "nobody has told of it for long";
+    EXPECT_TRUE(other.handOver(60 * kSecond).demand.empty());
+}
+
 RC_GTEST_PROP(CodecProperty, WhatIsWrittenIsReadBackAndWhatIsChangedIsFound, (std::uint32_t seed)) {
     std::mt19937_64 random(seed);
     const Handover h = randomHandover(random);
@@ -241,11 +325,12 @@
 
 TEST(Codec, LargeFleetsFitAndSayHowMuchTheyTake) {
     Knowledge k("n1", 1);
-    k.listSays(1, listOf(540));
+    k.listSays(1, listOf(540), 0);
     for (int i = 0; i < 540; ++i) {
         for (const char* zone : {"a", "b", "c", "d"}) {
-            k.saw("box-" + std::to_string(i), zone, 5, 40 + static_cast<std::uint32_t>(i % 20), 0,
-                  90000 + i * 13, 0);
+            k.saw({"box-" + std::to_string(i), zone, 5, 40 + static_cast<std::uint32_t>(i % 20), 0,
+                   90000 + i * 13},
+                  0);
         }
     }
     const std::string bytes = encode(k.handOver(kSecond));
