--- a/bench/learning_rig.cpp
+++ b/bench/learning_rig.cpp
@@ -345,6 +345,7 @@
     const Share after(world.figuresOf(kVictim));
     out.failed = static_cast<double>(after.failed - before.failed) /
                  static_cast<double>(after.requests - before.requests);
+    out.served = after.servedSince(before);
     out.badLines = victim.badLines();
     out.secondEffects = world.figures().secondEffects - effectsBefore;
     return out;
--- a/src/routing/planner_core.cpp
+++ b/src/routing/planner_core.cpp
@@ -109,6 +109,7 @@
     }
     if (junction_) return junction_->turned(actions, now);
     if (orders.empty()) return;
+    if (outlets_.orders) return outlets_.orders(orders, audience_.of(orders));
     OrderCall call{{}, translator_.linesAtMost(actions), audience_.of(orders)};
     for (const protocol::Order& order : orders) call.orders.push_back(translator_.text(order));
     outlets_.call(std::move(call), kForGood);
--- a/src/routing/planner_core.h
+++ b/src/routing/planner_core.h
@@ -30,6 +30,8 @@
         std::function<void()> fetchList;
         std::function<void()> startedOver;  // the module has lost its proxies: they must be told anew
         std::function<void(std::vector<FrontCommand>)> front = {};  // only with a junction
+        // In place of `call`: the orders by name, not as text, and whom they concern.
+        std::function<void(const std::vector<protocol::Order>&, const std::vector<ProxyId>&)> orders = {};
     };
     static constexpr Micros kForGood = std::numeric_limits<Micros>::max();
 
