--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -65,6 +65,7 @@
         cairo_set_source_rgb(c_, 1, 1, 1);
         cairo_paint(c_);
         cairo_select_font_face(c_, "sans-serif", CAIRO_FONT_SLANT_NORMAL, CAIRO_FONT_WEIGHT_NORMAL);
+        bands();
         axes();
         for (std::size_t i = 0; i < chart_.lines.size(); ++i) line(i);
         words();
@@ -95,6 +96,18 @@
         cairo_stroke(c_);
         cairo_set_source_rgb(c_, 0.2, 0.2, 0.2);
     }
+    void bands() {
+        for (std::size_t i = 0; i < chart_.bands.size(); ++i) {
+            const Band& band = chart_.bands[i];
+            const double from = px(std::clamp(band.from, x_.least, x_.most));
+            const double to = px(std::clamp(band.to, x_.least, x_.most));
+            cairo_set_source_rgba(c_, 0.45, 0.45, 0.45, 0.12);
+            cairo_rectangle(c_, from, kTop, std::max(1.0, to - from), kHeight - kTop - kBottom);
+            cairo_fill(c_);
+            cairo_set_source_rgb(c_, 0.35, 0.35, 0.35);
+            text(from + 3, kTop + 11 + 12 * static_cast<double>(i % 6), band.name, 10, 0);
+        }
+    }
     void axes() {
         for (const double x : ticks(x_.least, x_.most, 9)) {
             grid(px(x), kTop, px(x), kHeight - kBottom);
--- a/src/chart/chart.h
+++ b/src/chart/chart.h
@@ -13,11 +13,18 @@
     bool steps = false;  // a value holds until the next point
 };
 
+// A span of the horizontal axis, shaded, with a word at its top.
+struct Band {
+    std::string name;
+    double from = 0, to = 0;
+};
+
 struct Chart {
     std::string title, xLabel, yLabel;  // labels with their units
     std::string note;                   // what was measured, at which size
     std::vector<Line> lines;
     bool logY = false;
+    std::vector<Band> bands = {};
 };
 
 // Throws std::runtime_error if the file can't be written, or is neither .svg nor .png.
--- a/src/emulator/emulation.cpp
+++ b/src/emulator/emulation.cpp
@@ -13,6 +13,7 @@
 constexpr Micros kMessageWaits = 200000;  // a message into a cut is tried again
 constexpr Micros kSnapshotEvery = 10000000;
 constexpr std::uint32_t kFromTrace = ~0U;
+constexpr Micros kGather = 5000;    // as the planner on sockets does: what comes together is one turn
 constexpr double kTokensMost = 10;  // of a relay's budget of repeats
 
 }  // namespace
@@ -53,7 +54,7 @@
     for (std::uint32_t n = 0; n < fleet.planners; ++n) planners_[n].zone = n % zones;
     for (const Fault& f : scenario_.faults) {
         if (f.kind != FaultKind::clockSkew) continue;
-        for (const std::uint32_t n : choose(f, 0)) planners_[n].skew = std::llround(f.strength * 1000);
+        for (const std::uint32_t n : choose(f)) planners_[n].skew = std::llround(f.strength * 1000);
     }
     for (std::uint32_t n = 0; n < fleet.planners; ++n) startPlanner(n);
     for (std::uint32_t r = 0; r < fleet.relays; ++r) {
@@ -174,7 +175,7 @@
             Planner& p = planners_[e.a];
             if (!p.instance || r.epoch != m.epoch || r.instance != static_cast<std::int32_t>(e.a)) return;
             p.instance->answered(m.relay, m.mark, m.took);
-            return stepSoon(e.a, now_);
+            return stepSoon(e.a, now_ + kGather);
         }
         case Happening::faultBegins: return faultBegins(e.a);
         case Happening::faultEnds: return faultEnds(e.a);
@@ -515,7 +516,7 @@
     }
     p.told = version;
     p.instance->hear(news, now_);
-    stepSoon(instance, now_);
+    stepSoon(instance, now_ + kGather);
 }
 
 // ---- Relays and planners ----
@@ -581,7 +582,7 @@
         ++r.epoch;
         log(Kind::joined, number, n, 0, r.relay.fresh() ? 1 : 0);
         p.instance->joined(number, r.relay.zone(), arrivals_.usual(number), r.epoch == 1);
-        return stepSoon(n, now_);
+        return stepSoon(n, now_ + kGather);
     }
     const auto wait = std::llround(r.chance.uniform(static_cast<double>(scenario_.planner.redialLeast),
                                                     static_cast<double>(scenario_.planner.redialMost)));
@@ -595,7 +596,7 @@
     log(Kind::left, number, n);
     if (planners_[n].instance) {
         planners_[n].instance->left(number);
-        stepSoon(n, now_);
+        stepSoon(n, now_ + kGather);
     }
     r.instance = -1;
     ++r.epoch;
@@ -624,7 +625,7 @@
 
 void Emulation::step(std::uint32_t number) {
     Planner& p = planners_[number];
-    if (!p.instance) return;
+    if (!p.instance || p.stepAt != now_) return;  // an earlier one has taken its place
     if (now_ < p.pausedUntil) {
         p.stepAt = -1;
         return stepSoon(number, p.pausedUntil);
@@ -736,7 +737,7 @@
     const Report report = std::exchange(reports_[which], {});
     if (!p.instance || p.incarnation != report.incarnation) return;
     p.instance->hear(report.sums, report.demand, scenario_.planner.reportEvery, now_);
-    stepSoon(number, now_);
+    stepSoon(number, now_ + kGather);
 }
 
 }  // namespace marldale::emulator
--- a/src/emulator/emulation.h
+++ b/src/emulator/emulation.h
@@ -168,7 +168,7 @@
 
     // ---- Faults ----
     void drawFaults();
-    [[nodiscard]] std::vector<std::uint32_t> choose(const Fault& fault, std::uint32_t number);
+    [[nodiscard]] std::vector<std::uint32_t> choose(const Fault& fault) const;
     void faultBegins(std::uint32_t number);
     void faultEnds(std::uint32_t number);
     void faultGoesOn(std::uint32_t number, std::uint32_t times);
--- a/src/emulator/faults.cpp
+++ b/src/emulator/faults.cpp
@@ -79,7 +79,7 @@
 }
 
 // Places of boxes, relays, planners or zones that a fault is about.
-std::vector<std::uint32_t> Emulation::choose(const Fault& fault, std::uint32_t number) {
+std::vector<std::uint32_t> Emulation::choose(const Fault& fault) const {
     const Subject& s = fault.subject;
     const auto zones = static_cast<std::uint32_t>(scenario_.fleet.zones.size());
     if (s.what == Subject::What::zone) return {scenario_.zoneOf(s.zone)};
@@ -95,7 +95,7 @@
     for (std::uint32_t i = 0; i < count; ++i) {
         if (s.zone.empty() || i % zones == scenario_.zoneOf(s.zone)) all.push_back(i);
     }
-    Stream draw(scenario_.run.seed, "chosen", number);
+    Stream draw(scenario_.run.seed, "chosen " + fault.name);
     for (std::size_t i = all.size(); i > 1; --i)
         std::swap(all[i - 1], all[draw.below(static_cast<std::uint32_t>(i))]);
     const auto wanted = static_cast<std::size_t>(std::ceil(s.share * static_cast<double>(all.size()) - 1e-9));
@@ -107,7 +107,7 @@
 void Emulation::faultBegins(std::uint32_t number) {
     const Fault& f = scenario_.faults[number];
     Ongoing& o = ongoing_[number];
-    o.chosen = choose(f, number);
+    o.chosen = choose(f);
     o.on = true;
     log(Kind::fault, number, static_cast<std::uint32_t>(f.kind), 0, 1);
     if (f.kind == FaultKind::deploy || f.kind == FaultKind::pause || f.kind == FaultKind::neighbour) {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -145,7 +145,14 @@
             if (fits) c[id] = {static_cast<float>(s.weight()), 0};
         }
     }
-    [[nodiscard]] Content content(const Table& t) const {
+    // Copies want what their main table wants: worked out once a turn.
+    std::map<Place, Content> wanted;
+    const Content& content(const Table& t) {
+        const auto [at, fresh] = wanted.try_emplace(t.place());
+        if (fresh) at->second = contentNow(t);
+        return at->second;
+    }
+    [[nodiscard]] Content contentNow(const Table& t) const {
         Content c;
         const Group& g = groups[t.group];
         std::map<ZoneId, double> place;  // among its zone's servers of this column
@@ -924,6 +931,7 @@
         levels = levelsNow();
         findOpen();
         deal();
+        wanted.clear();
         bindJoined();
         rebind();
         for (auto& [id, t] : tables) push(id, t);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -79,11 +79,18 @@
 
 }  // namespace
 
-// Recorded traffic is another program's, beside this one: the planner links none of what it needs.
-int runBeside(char** argv) {
+// Recorded traffic and the emulator are other programs', beside this one: the planner links none of what they
+// need.
+const char* programOf(std::string_view verb) {
+    if (verb == "trace" || verb == "replay" || verb == "knowledge") return "marldale_trace";
+    if (verb == "emulate" || verb == "experiment") return "marldale_lab";
+    return nullptr;
+}
+
+int runBeside(const char* name, char** argv) {
     std::error_code error;
     const auto self = std::filesystem::read_symlink("/proc/self/exe", error);
-    const std::string program = (self.parent_path() / "marldale_trace").string();
+    const std::string program = (self.parent_path() / name).string();
     execv(program.c_str(), argv);
     std::fprintf(stderr, "marldale: %s can't be run (%s): build with -DMARLDALE_TRACE=ON\n", program.c_str(),
                  std::strerror(errno));
@@ -92,10 +99,8 @@
 
 int main(int argc, char** argv) {
     using marldale::program::Verb;
-    if (argc > 1 && (std::string_view(argv[1]) == "trace" || std::string_view(argv[1]) == "replay" ||
-                     std::string_view(argv[1]) == "knowledge")) {
-        return runBeside(argv);
-    }
+    const char* const other = argc > 1 ? programOf(argv[1]) : nullptr;
+    if (other != nullptr) return runBeside(other, argv);
     holdHangUp(SIG_BLOCK);
     int status = 0;
     const auto asked = marldale::program::parseCommandLine(argc, argv, status);
