Lines that another zone lends carry three tenths of their weight

Cause: where lines are dear, a hot zone took whole lines of another zone. Such a server carries the line of its own zone and a whole one of another, so it was asked for twice its share and was the next to be hot: per box the emulator showed traffic swinging between 0 and 25 a second with a period of 30 to 40 s.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -71,6 +71,7 @@
 constexpr double kSpillLeast = 0.2;  // a smaller share of the other zones' lines is not worth its orders
 constexpr double kLostMost = 0.1;    // of a zone's weight ejected: it needs the others
 constexpr double kSpillStep = 0.05, kSpillGain = 3;  // of flows, a tick
+constexpr double kFlowWeight = 0.3;                  // of a line that another zone's servers lend
 constexpr double kFlowBack = 0.02;  // of a step: how fast flows recede where nothing is known against them
 constexpr Micros kCoolHold = 5 * kSecond;  // calm this long before a zone draws its lines in
 
@@ -593,14 +594,16 @@
         const auto at = spills.find(zone);
         return at == spills.end() ? 1 : at->second.share;
     }
-    // A share of the other zones' lines. Where lines are dear, whole lines, as many as the excess needs, so
-    // that connections stay few too.
+    // A share of the other zones' lines. Where lines are dear, some of the lines, as many as the excess
+    // needs, so that connections stay few too; each at a part of its weight, for a server that carries a line
+    // of its own zone and a whole one of another is asked for twice its share, and is the next to be hot.
     [[nodiscard]] double spillTo(const Server& s, ZoneId from, double before) const {
         if (!dear) return spillOf(from);
         const double mean = static_cast<double>(fleet.size()) / set.zones / columns.members.size();
         const double offset = std::floor(mean * from / set.zones);  // zones begin at different servers
-        const double lines = mean * valueIn(flows, std::pair(from, s.entry.zone), 0);
-        return std::clamp(lines - std::fmod(before + offset, std::max(1.0, std::ceil(mean))), 0.0, 1.0);
+        const double lines = mean * valueIn(flows, std::pair(from, s.entry.zone), 0) / kFlowWeight;
+        const double place = std::fmod(before + offset, std::max(1.0, std::ceil(mean)));
+        return kFlowWeight * std::clamp(lines - place, 0.0, 1.0);
     }
     void spread() {
         std::map<ZoneId, Tally> own;           // a zone's servers, whoever met them
--- a/tests/policy/scale_test.cpp
+++ b/tests/policy/scale_test.cpp
@@ -152,7 +152,9 @@
     EXPECT_EQ(serversNamed(rig).size(), static_cast<std::size_t>(kServers));
 }
 
-TEST(Scale, AHotZoneTakesWholeLinesOfAZoneThatAnswersFaster) {
+// Found by the emulator: whole lines of another zone doubled what their servers got, which then were the next
+// to be hot (120 boxes of which a fifth fail: service 0.90, 0.96 with a part of their weight).
+TEST(Scale, AHotZoneTakesLinesOfAZoneThatAnswersFasterAtAPartOfTheirWeight) {
     Rig rig = boundRig();
     for (int i = 0; i < 6; ++i) {
         std::vector<Event> sums;
@@ -169,6 +171,18 @@
     };
     EXPECT_GT(others(0), 0);
     EXPECT_EQ(others(1), 0) << "the cool zone keeps to itself";
+    int compared = 0;
+    for (ProxyId hot = 0; hot < kProxies; hot += 2) {
+        for (const auto& [id, lent] : tableFor(rig, hot)) {
+            for (ProxyId cool = 1; cool < kProxies && zoneOf(id) == 1; cool += 2) {
+                const auto own = tableFor(rig, cool).find(id);
+                if (own == tableFor(rig, cool).end()) continue;
+                EXPECT_LT(lent, 0.5F * own->second);
+                ++compared;
+            }
+        }
+    }
+    EXPECT_GT(compared, 0);
 }
 
 // A difference larger than the room was held for ever; now the part that fits goes, the rest merges.
