--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,13 @@
 	$(BUILD) build/tests -j4
 	ctest --test-dir build/tests --output-on-failure -j4
 
-# A planner at work among stand-ins, in less than a minute.
+# A planner at work among stand-ins, and an emulated incident with its chart, in less than a minute.
 demo: packages
 	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
 	$(BUILD) build/demo -j4
 	build/demo/bench/marldale_demo
+	build/demo/marldale emulate run scenarios/cut-during-deploy.ini --chart build/demo/incident.svg
+	@echo "the incident's chart: build/demo/incident.svg"
 
 # What a planner that restarts gains from what was known, and SWIM's figures.
 measure-learning: packages
--- a/src/lab/store.cpp
+++ b/src/lab/store.cpp
@@ -148,6 +148,22 @@
     return out;
 }
 
+Store::Listed choose(const std::vector<Store::Listed>& from, const RunId& id, std::int64_t number) {
+    std::string others;
+    for (const Store::Listed& e : from) {
+        const bool samePlan = e.id.text == id.text;
+        const bool meant = number != 0 ? e.number == number : samePlan && e.id.build == id.build;
+        if (meant && !samePlan)
+            throw std::runtime_error("experiment " + std::to_string(number) + " is of another plan");
+        if (meant && e.results > 0) return e;
+        if (samePlan && e.results > 0) {
+            others += "; build " + e.id.build + " has " + std::to_string(e.results) + ": --experiment " +
+                      std::to_string(e.number);
+        }
+    }
+    throw std::runtime_error("there are no results of this plan and build: run it first" + others);
+}
+
 std::string buildHash() {
     std::ifstream file("/proc/self/exe", std::ios::binary);
     const std::string bytes{std::istreambuf_iterator<char>(file), {}};
--- a/src/lab/store.h
+++ b/src/lab/store.h
@@ -46,6 +46,11 @@
     sqlite3* db_ = nullptr;
 };
 
+// Which of them is meant: the one of this number, or (0) the one of this plan and build. Throws
+// std::runtime_error, which names others of the same plan, if there is none or it has no results.
+[[nodiscard]] Store::Listed choose(const std::vector<Store::Listed>& from, const RunId& id,
+                                   std::int64_t number);
+
 // Hash of the running program's own file, and the machine's name.
 [[nodiscard]] std::string buildHash();
 [[nodiscard]] std::string hostName();
--- a/src/lab_program/main.cpp
+++ b/src/lab_program/main.cpp
@@ -219,6 +219,7 @@
 
 struct ExperimentAsked {
     std::string plan, store = "results.sqlite", out = "report", one, other;
+    std::int64_t number = 0;  // 0: this plan's, by this build
     unsigned threads = std::max(1U, std::thread::hardware_concurrency());
 };
 
@@ -263,10 +264,8 @@
     const auto plan = planOf(asked);
     if (!plan) return kMisunderstood;
     marldale::lab::Store store(asked.store);
-    const auto id = idOf(*plan);
-    const auto results = store.results(store.experiment(id));
-    if (results.empty())
-        throw std::runtime_error("there are no results of this plan and build: run it first");
+    const auto chosen = marldale::lab::choose(store.list(), idOf(*plan), asked.number);
+    const auto results = store.results(chosen.number);
     if (compares) {
         std::fputs(marldale::lab::shown(marldale::lab::compare(*plan, results, asked.one, asked.other),
                                         asked.one, asked.other)
@@ -274,7 +273,7 @@
                    stdout);
         return kRight;
     }
-    marldale::lab::writeReport(*plan, id, results, asked.out);
+    marldale::lab::writeReport(*plan, chosen.id, results, asked.out);
     std::printf("%s/report.md\n", asked.out.c_str());
     return kRight;
 }
@@ -362,13 +361,17 @@
     addPlan(*sub);
     sub->add_option("--threads", experiment.threads)->check(CLI::Range(1, 1024));
     sub->callback([&] { status = experimentRun(experiment); });
+    const auto addChoice = [&](CLI::App& to) {
+        addPlan(to);
+        to.add_option("--experiment", experiment.number, "its number in the file; else this build's");
+    };
     sub = lab->add_subcommand("report", "tables and charts");
-    addPlan(*sub);
+    addChoice(*sub);
     sub->add_option("--out", experiment.out, "a directory")->capture_default_str();
     sub->callback([&] { status = experimentReport(experiment, false); });
     sub =
         lab->add_subcommand("compare", "what changes from one variant to another, and whether it is chance");
-    addPlan(*sub);
+    addChoice(*sub);
     sub->add_option("one", experiment.one)->required();
     sub->add_option("other", experiment.other)->required();
     sub->callback([&] { status = experimentReport(experiment, true); });
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -175,12 +175,13 @@
         int out = 0;
         if (sqlite3_open_v2(path("k.sqlite").c_str(), &db, SQLITE_OPEN_READONLY, nullptr) == SQLITE_OK) {
             sqlite3_busy_timeout(db, 2000);
-            sqlite3_exec(db, "SELECT COUNT(*) FROM result",
-                         [](void* to, int, char** values, char**) {
-                             *static_cast<int*>(to) = std::atoi(values[0]);
-                             return 0;
-                         },
-                         &out, nullptr);
+            sqlite3_exec(
+                db, "SELECT COUNT(*) FROM result",
+                [](void* to, int, char** values, char**) {
+                    *static_cast<int*>(to) = std::atoi(values[0]);
+                    return 0;
+                },
+                &out, nullptr);
         }
         sqlite3_close(db);
         return out;
@@ -211,6 +212,30 @@
 
 // ---- Statistics ----
 
+TEST(Experiments, ThisBuildsOrTheOneThatIsNamedIsMeant) {
+    const auto listed = [](std::int64_t number, const char* text, const char* build, std::size_t results) {
+        return Store::Listed{number, {"p", text, "1", build, "h"}, "", results};
+    };
+    const std::vector<Store::Listed> all = {listed(1, "t", "old", 5), listed(2, "t", "new", 0),
+                                            listed(3, "u", "new", 2), listed(4, "t", "newest", 7)};
+    EXPECT_EQ(choose(all, {"p", "t", "1", "newest", "h"}, 0).number, 4);
+    EXPECT_EQ(choose(all, {"p", "t", "1", "newest", "h"}, 1).number, 1);
+    const auto wrong = [&](const RunId& id, std::int64_t number) -> std::string {
+        try {
+            (void)choose(all, id, number);
+        } catch (const std::runtime_error& e) {
+            return e.what();
+        }
+        return "";
+    };
+    EXPECT_EQ(wrong({"p", "t", "1", "new", "h"}, 0),
+              "there are no results of this plan and build: run it first; build old has 5: --experiment 1; "
+              "build newest has "
+              "7: --experiment 4");
+    EXPECT_EQ(wrong({"p", "t", "1", "new", "h"}, 3), "experiment 3 is of another plan");
+    EXPECT_FALSE(wrong({"p", "x", "1", "new", "h"}, 9).empty());
+}
+
 TEST(Statistics, AnIntervalHoldsTheTruthAboutAsOftenAsItSays) {
     emulator::Stream random(3, "interval");
     int held = 0;
@@ -279,7 +304,8 @@
     int lines = 0;
     while (std::getline(csv, line)) ++lines;
     EXPECT_EQ(lines, 7);
-    for (const char* chart : {"errors-service.svg", "errors-service.png", "errors-queue.svg", "errors-p95.png"}) {
+    for (const char* chart :
+         {"errors-service.svg", "errors-service.png", "errors-queue.svg", "errors-p95.png"}) {
         EXPECT_GT(std::filesystem::file_size(path(std::string("report/") + chart)), 1000U) << chart;
     }
 }
@@ -294,7 +320,8 @@
     ASSERT_FALSE(failed.empty());
     const auto chain = chainOf(path("one.log"), failed.front());
     const auto has = [&](emulator::Kind kind) {
-        return std::any_of(chain.begin(), chain.end(), [&](const emulator::Event& e) { return e.kind == kind; });
+        return std::any_of(chain.begin(), chain.end(),
+                           [&](const emulator::Event& e) { return e.kind == kind; });
     };
     EXPECT_TRUE(has(emulator::Kind::wish));
     EXPECT_TRUE(has(emulator::Kind::holds));
