Experiments on threads: the INI reader's own settings are set once; limits on files are told

A file that may not grow (RLIMIT_FSIZE) killed the programs by SIGXFSZ.

Change: the settings are set once; SIGXFSZ is ignored as SIGPIPE is, so the write's error is told.

--- a/src/lab_program/main.cpp
+++ b/src/lab_program/main.cpp
@@ -304,6 +304,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is told by the write's error
     CLI::App app{"marldale: incidents in virtual time, and experiments on them"};
     app.require_subcommand(1);
     int status = kRight;
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
+#include <mutex>
 
 namespace marldale::settings {
 namespace {
@@ -106,9 +107,12 @@
         return {};
     }
     // inih's own settings, for the process: a buffer for the longest line, no values over several lines.
-    ini_use_stack = false;
-    ini_max_line = ini_initial_alloc = static_cast<int>(kLineMost) + 3;
-    ini_allow_multiline = false;
+    static std::once_flag set;
+    std::call_once(set, [] {
+        ini_use_stack = false;
+        ini_max_line = ini_initial_alloc = static_cast<int>(kLineMost) + 3;
+        ini_allow_multiline = false;
+    });
     return Lines(file, text, problems).read();
 }
 
--- a/src/trace_program/main.cpp
+++ b/src/trace_program/main.cpp
@@ -161,6 +161,7 @@
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is told by the write's error
     CLI::App app("Recorded traffic: into a trace, through it, and played again.", "marldale");
     app.require_subcommand(1);
     int status = 0;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -22,6 +22,7 @@
 
 Loop::Loop() {
     std::signal(SIGPIPE, SIG_IGN);  // a party that has gone is told by the write's error
+    std::signal(SIGXFSZ, SIG_IGN);  // and so is a file that may not grow
     // `post` wakes the loop from another thread, which libevent allows only with its locks in place.
     if (evthread_use_pthreads() != 0) throw std::runtime_error("libevent has no threads");
     base_.reset(event_base_new());
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 #include <sqlite3.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -202,6 +203,22 @@
     EXPECT_EQ(store.results(store.list().front().number).size(), 40U);
 }
 
+TEST_F(Lab, AFileOfResultsThatMayNotGrowEndsTheRunWithAWord) {
+    (void)planOf("[experiment]\nseeds = 1-40\n[scenario errors]\nfile = s.ini\n");
+    const pid_t child = fork();
+    if (child == 0) {
+        const rlimit most{30000, 30000};
+        setrlimit(RLIMIT_FSIZE, &most);
+        execl(MARLDALE_LAB, "marldale_lab", "experiment", "run", path("plan.ini").c_str(), "--store",
+              path("f.sqlite").c_str(), nullptr);
+        _exit(127);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    ASSERT_TRUE(WIFEXITED(status)) << "killed by signal " << WTERMSIG(status);
+    EXPECT_EQ(WEXITSTATUS(status), 1);
+}
+
 TEST_F(Lab, AFileThatIsNoneAndAResultThatIsSpoiltAreTold) {
     std::ofstream(path("none.sqlite")) << std::string(5000, 'x');
     EXPECT_THROW(Store(path("none.sqlite")), std::runtime_error);
