Proxy that obeys the tables: strict HTTP reader, steering, attempts, gateway on libevent

Change: src/proxy without I/O: heads and bodies read strictly (RFC 9112), smooth weighted picks, levels, steering that keeps its tables when stranded and never sends to what the list or the planner calls gone, attempts only as ordered with an exact proof of not having run, counts exact over any split. On libevent: streams with bounded buffers, a pool for each box, the gateway; the side to planners over the client library; marldale proxy with settings of its own. Not part of the planner.

The differential test against the emulator's model found a bug there: smooth picking shared one round between classes, and boxes that had left a table kept their place; mended.

--- /dev/null
+++ b/cmake/proxy.cmake
@@ -0,0 +1,14 @@
+# A proxy that obeys the tables: its decisions (no I/O), its sockets, and its side to the planners.
+add_library(marldale_proxy_core STATIC src/proxy/attempt.cpp src/proxy/body.cpp src/proxy/forward.cpp src/proxy/head.cpp
+  src/proxy/picker.cpp src/proxy/steering.cpp src/proxy/tally.cpp)
+target_include_directories(marldale_proxy_core PUBLIC src)
+target_link_libraries(marldale_proxy_core PUBLIC marldale_attempts)
+add_library(marldale_gateway STATIC src/proxy/box_pool.cpp src/proxy/gateway.cpp src/proxy/settings.cpp src/proxy/stream.cpp)
+target_link_libraries(marldale_gateway PUBLIC marldale_proxy_core marldale_transport marldale_settings)
+if(MARLDALE_WITH_GRPC)
+  add_library(marldale_proxy_planners STATIC src/proxy/planner_side.cpp)
+  target_link_libraries(marldale_proxy_planners PUBLIC marldale_gateway marldale_client marldale_routing)
+  add_executable(marldale_proxy src/proxy_program/main.cpp)
+  target_compile_definitions(marldale_proxy PRIVATE MARLDALE_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(marldale_proxy PRIVATE marldale_proxy_planners CLI11::CLI11)
+endif()
--- a/src/emulator/relay.cpp
+++ b/src/emulator/relay.cpp
@@ -7,6 +7,7 @@
 
 constexpr float kNoLimit = 1e6F;
 constexpr int kDraws = 16;  // before it looks at every line
+const std::vector<BoxNumber> kNoBoxes;
 
 }  // namespace
 
@@ -21,6 +22,13 @@
         if (!view.byClass[k] && k < view_.byClass.size()) view.byClass[k] = view_.byClass[k];
     }
     view_ = std::move(view);
+    rounds_.resize(view_.byClass.size());
+    for (std::size_t k = 0; k < rounds_.size(); ++k) {
+        const std::vector<BoxNumber>& boxes = view_.byClass[k] ? view_.byClass[k]->boxes : kNoBoxes;
+        std::erase_if(rounds_[k], [&](const auto& item) {
+            return !std::binary_search(boxes.begin(), boxes.end(), item.first);
+        });
+    }
     fresh_ = false;
 }
 
@@ -84,27 +92,29 @@
     return std::nullopt;
 }
 
-// Smooth weighted round robin: shares are exact in the long run, and nobody comes twice in a row.
-std::optional<BoxNumber> Relay::smooth(const Content& content, std::optional<BoxNumber> but, Micros now) {
+// Smooth weighted round robin: shares are exact in the long run, and nobody comes twice in a row. Each class
+// has a round of its own.
+std::optional<BoxNumber> Relay::smooth(std::size_t klass, const Content& content,
+                                       std::optional<BoxNumber> but, Micros now) {
+    std::map<BoxNumber, double>& round = rounds_[klass];
     double total = 0;
     std::optional<BoxNumber> best;
     for (std::size_t i = 0; i < content.boxes.size(); ++i) {
         if (!open(content.boxes[i], but, now)) continue;
         const auto weight = static_cast<double>(content.weights[i]);
-        Box& box = boxes_[content.boxes[i]];
-        box.current += weight;
+        const double current = round[content.boxes[i]] += weight;
         total += weight;
-        if (!best || box.current > boxes_[*best].current) best = content.boxes[i];
+        if (!best || current > round[*best]) best = content.boxes[i];
     }
     if (!best) return draw(content, but, now);
-    boxes_[*best].current -= total;
+    round[*best] -= total;
     return best;
 }
 
 std::optional<BoxNumber> Relay::pick(std::size_t klass, std::optional<BoxNumber> but, Micros now) {
     const Content* content = contentOf(klass);
     if (content == nullptr) return std::nullopt;
-    if (settings_.pick == Pick::smooth) return smooth(*content, but, now);
+    if (settings_.pick == Pick::smooth) return smooth(klass, *content, but, now);
     const auto one = draw(*content, but, now);
     if (settings_.pick == Pick::weighted || !one) return one;
     const auto two = draw(*content, but, now);
--- a/src/emulator/relay.h
+++ b/src/emulator/relay.h
@@ -67,15 +67,14 @@
         std::uint32_t open = 0, idle = 0;  // connections in use, and kept
         unsigned failedInARow = 0;
         Micros avoidUntil = 0, idleSince = 0;
-        double current = 0;  // of smooth picking
     };
     [[nodiscard]] const Content* contentOf(std::size_t klass) const;
     [[nodiscard]] bool isShut(BoxNumber box) const { return view_.shut && view_.shut->count(box) != 0; }
     [[nodiscard]] bool open(BoxNumber box, std::optional<BoxNumber> but, Micros now) const;
     [[nodiscard]] std::optional<BoxNumber> draw(const Content& content, std::optional<BoxNumber> but,
                                                 Micros now);
-    [[nodiscard]] std::optional<BoxNumber> smooth(const Content& content, std::optional<BoxNumber> but,
-                                                  Micros now);
+    [[nodiscard]] std::optional<BoxNumber> smooth(std::size_t klass, const Content& content,
+                                                  std::optional<BoxNumber> but, Micros now);
 
     const RelaySettings settings_;
     const Admission admission_;
@@ -84,6 +83,7 @@
     View view_;
     bool fresh_ = true;
     std::unordered_map<BoxNumber, Box> boxes_;
+    std::vector<std::map<BoxNumber, double>> rounds_;  // of smooth picking, by class
     struct Tokens {
         double left = 1;
         Micros at = 0;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -79,11 +79,12 @@
 
 }  // namespace
 
-// Recorded traffic and the emulator are other programs', beside this one: the planner links none of what they
+// Recorded traffic, the emulator and the proxy are other programs', beside this one: the planner links none of what they
 // need.
 const char* programOf(std::string_view verb) {
     if (verb == "trace" || verb == "replay" || verb == "knowledge") return "marldale_trace";
     if (verb == "emulate" || verb == "experiment") return "marldale_lab";
+    if (verb == "proxy") return "marldale_proxy";
     return nullptr;
 }
 
--- /dev/null
+++ b/src/proxy/gateway.cpp
@@ -0,0 +1,492 @@
+#include "proxy/gateway.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+#include "proxy/forward.h"
+
+namespace marldale::proxy {
+namespace {
+
+constexpr transport::Millis kSweepEvery{500}, kLinger{2000};
+constexpr const char* kNotRun = "marldale-not-run";
+
+transport::Millis millis(Micros micros) { return transport::Millis{std::max<Micros>(1, micros / 1000)}; }
+
+std::vector<std::string> namesOf(const std::vector<RequestClass>& classes) {
+    std::vector<std::string> out;
+    for (const RequestClass& k : classes) out.push_back(k.name);
+    return out;
+}
+
+}  // namespace
+
+Micros Gateway::now() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+// One client's connection, and the request of it that is under way.
+class Gateway::Client {
+public:
+    Client(Gateway& gateway, evutil_socket_t fd)
+        : gateway_(gateway),
+          stream_(std::make_unique<Stream>(gateway.loop_, fd)),
+          limit_(gateway.loop_, [this] { late(); }),
+          tryLimit_(gateway.loop_, [this] { tryLate(); }) {
+        Stream::Handlers handlers;
+        handlers.readable = [this] { readable(); };
+        handlers.drained = [this] { boxReadable(); };
+        handlers.ended = [this](bool) { clientGone(); };
+        stream_->setHandlers(std::move(handlers));
+        waitForHead(gateway.settings_.headWithin);
+    }
+    ~Client() { dropBox(); }
+    Client(const Client&) = delete;
+    Client& operator=(const Client&) = delete;
+
+    [[nodiscard]] bool idle() const { return state_ == State::head && stream_->available() == 0; }
+    void goAway() { leave(); }
+
+private:
+    enum class State : std::uint8_t { head, forward, over };
+
+    void waitForHead(Micros within) {
+        state_ = State::head;
+        limit_.after(millis(within));
+    }
+
+    // ---- The client's side ----
+
+    void readable() {
+        if (state_ == State::head) return readHead();
+        if (state_ == State::forward) return forwardBody();
+    }
+
+    void readHead() {
+        const std::string_view bytes = stream_->peek(gateway_.settings_.heads.bytes);
+        if (bytes.empty()) return;
+        std::size_t length = 0;
+        auto wrong = findHead(bytes, gateway_.settings_.heads, length);
+        if (!wrong && length == 0) return;
+        if (!wrong) wrong = readRequest(bytes.substr(0, length), gateway_.settings_.heads, head_);
+        if (wrong) {
+            ++gateway_.figures_.refusedHeads;
+            return tell(wrong->status, wrong->why, 0, false);
+        }
+        stream_->take(length);
+        begin();
+    }
+
+    void begin() {
+        const Micros now = Gateway::now();
+        state_ = State::forward;
+        klass_ = classOf();
+        const RequestClass& k = gateway_.settings_.classes[klass_];
+        body_.emplace(head_.body);
+        kept_.clear();
+        keptWhole_ = true;
+        bodySent_ = head_.body.framing == Framing::none;
+        answering_ = false;
+        tried_.clear();
+        wish_ = {k.fragile, true, 0, k.giveUp};
+        until_ = now + k.giveUp;
+        limit_.after(millis(k.giveUp));
+        ++gateway_.figures_.requests;
+        gateway_.tally_.came(klass_, now);
+        gateway_.budget_.firstTry();
+        if (!gateway_.steering_.admits(klass_, now)) {
+            ++gateway_.figures_.levelRefused;
+            const Verdict v = turnedAway();
+            return tell(v.status, v.why, v.retryAfterS, head_.keepAlive);
+        }
+        tryOne(false);
+    }
+
+    [[nodiscard]] std::size_t classOf() const {
+        const auto& classes = gateway_.settings_.classes;
+        for (std::size_t k = 0; k < classes.size(); ++k) {
+            const bool method = classes[k].method.empty() || classes[k].method == head_.method;
+            if (method && head_.target.starts_with(classes[k].prefix)) return k;
+        }
+        return classes.size() - 1;
+    }
+
+    void forwardBody() {
+        if (!box_ || !connected_ || bodySent_) return;
+        while (!bodySent_ && box_ && !box_->full()) {
+            const std::string_view bytes = stream_->peek(16384);
+            if (bytes.empty()) return;
+            const std::size_t taken = body_->feed(bytes, [this](std::string_view piece) {
+                keep(piece);
+                box_->write(framedPiece(head_.body.framing, piece));
+            });
+            stream_->take(taken);
+            if (body_->bad() != nullptr) return tell(400, body_->bad(), 0, false);
+            if (body_->done()) endBody();
+        }
+    }
+
+    void endBody() {
+        box_->write(framedEnd(head_.body.framing, body_->trailers()));
+        bodySent_ = true;
+    }
+
+    void keep(std::string_view piece) {
+        if (!keptWhole_) return;
+        keptWhole_ = kept_.size() + piece.size() <= gateway_.settings_.bodyKept;
+        if (keptWhole_) kept_.append(piece);
+        if (!keptWhole_) std::string().swap(kept_);
+    }
+
+    void clientGone() {
+        if (state_ == State::forward) ++gateway_.figures_.clientsGone;
+        dropBox();  // its try is cancelled
+        leave();
+    }
+
+    // ---- The box's side ----
+
+    void tryOne(bool freshOnly) {
+        const auto pick = gateway_.steering_.pick(klass_, tried_);
+        if (!pick) {
+            ++gateway_.figures_.unpicked;
+            return finish(nothingToPick(gateway_.steering_.standing() != Standing::waiting));
+        }
+        dial(pick->box, pick->endpoint, freshOnly);
+    }
+
+    void dial(const std::string& box, const std::string& endpoint, bool freshOnly) {
+        boxName_ = box;
+        endpoint_ = endpoint;
+        tried_.push_back(box);
+        ++wish_.tries;
+        ++gateway_.figures_.tries;
+        tryBegan_ = Gateway::now();
+        // A connection that was kept may end just as a request goes out on it, and then nobody knows whether
+        // it ran.
+        const bool fresh = freshOnly || gateway_.settings_.classes[klass_].fragile;
+        auto lease = gateway_.pool_.lease(box, endpoint, fresh);
+        box_ = std::move(lease.stream);
+        reused_ = !lease.fresh;
+        connected_ = false;
+        answerHead_.reset();
+        if (!box_) return tryEnded({Came::noConnection, 0, 0, false});
+        Stream::Handlers handlers;
+        handlers.connected = [this] { boxConnected(); };
+        handlers.readable = [this] { boxReadable(); };
+        handlers.drained = [this] { forwardBody(); };
+        handlers.ended = [this](bool dialling) { boxEnded(dialling); };
+        box_->setHandlers(std::move(handlers));
+        const RequestClass& k = gateway_.settings_.classes[klass_];
+        const bool mayFollow = gateway_.steering_.retryMode(klass_) >= 2;
+        if (k.tryFor > 0 && mayFollow && !k.fragile) tryLimit_.after(millis(k.tryFor));
+        if (reused_) boxConnected();
+    }
+
+    void boxConnected() {
+        // The tables may have changed while it was dialled.
+        if (!gateway_.steering_.maySendTo(boxName_)) return withdrawn();
+        connected_ = true;
+        base_ = box_->written();
+        box_->write(toBox(head_, until_ - Gateway::now()));
+        if (!kept_.empty()) box_->write(framedPiece(head_.body.framing, kept_));
+        if (bodySent_ && head_.body.framing != Framing::none)
+            box_->write(framedEnd(head_.body.framing, body_->trailers()));
+        if (head_.expectsContinue && !bodySent_ && body_->content() == 0)
+            stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        forwardBody();
+    }
+
+    // Not a byte of it was written: it goes elsewhere, and counts as no try.
+    void withdrawn() {
+        dropBox();
+        --wish_.tries;
+        tryOne(false);
+    }
+
+    void boxReadable() {
+        if (!box_ || !connected_) return;
+        if (!answerHead_ && !readAnswer()) return;
+        passBody();
+    }
+
+    // True: there is a head, and its body may follow.
+    bool readAnswer() {
+        for (;;) {
+            const std::string_view bytes = box_->peek(gateway_.settings_.heads.bytes);
+            if (bytes.empty()) return false;
+            std::size_t length = 0;
+            ResponseHead head;
+            auto wrong = findHead(bytes, gateway_.settings_.heads, length);
+            if (!wrong && length == 0) return false;
+            if (!wrong)
+                wrong = readResponse(bytes.substr(0, length), gateway_.settings_.heads, head_.method, head);
+            if (wrong) {
+                tryEnded({Came::badAnswer, sent(), 0, false});
+                return false;
+            }
+            box_->take(length);
+            if (head.status == 101) {
+                tryEnded({Came::badAnswer, sent(), 0, false});
+                return false;
+            }
+            if (head.status < 200) continue;  // the proxy has said its own
+            return answered(std::move(head));
+        }
+    }
+
+    bool answered(ResponseHead head) {
+        const TryEnd end{Came::answer, sent(), head.status, valueOf(head.fields, kNotRun) != nullptr};
+        const Verdict verdict = decide(end);
+        if (verdict.next == Next::again) {
+            dropBox();
+            tryOne(false);
+            return false;
+        }
+        answerHead_ = std::move(head);
+        answerBody_.emplace(answerHead_->body);
+        answering_ = true;
+        if (answerHead_->status >= 500) gateway_.tally_.requestFailed(klass_, Gateway::now());
+        // A request that is not whole yet can't be followed by another on this connection.
+        keepAlive_ = head_.keepAlive && bodySent_ && !gateway_.draining_;
+        frame_ = toClientFrame(*answerHead_, head_.minor);
+        if (frame_.framing == Framing::untilClose) keepAlive_ = false;
+        stream_->write(toClient(*answerHead_, frame_, keepAlive_));
+        limit_.after(millis(gateway_.settings_.stallFor));
+        return true;
+    }
+
+    void passBody() {
+        bool moved = false;
+        while (box_ && !answerBody_->done() && !stream_->full()) {
+            const std::string_view bytes = box_->peek(16384);
+            if (bytes.empty()) break;
+            const std::size_t taken = answerBody_->feed(bytes, [this](std::string_view piece) {
+                stream_->write(framedPiece(frame_.framing, piece));
+            });
+            box_->take(taken);
+            moved = moved || taken > 0;
+            if (answerBody_->bad() != nullptr) return cutShort();
+        }
+        if (moved) limit_.after(millis(gateway_.settings_.stallFor));
+        if (answerBody_->done()) answerOver();
+    }
+
+    void answerOver() {
+        stream_->write(framedEnd(frame_.framing, answerBody_->trailers()));
+        ++gateway_.figures_.passedOn;
+        const bool again = answerHead_->keepAlive && bodySent_ && box_->available() == 0;
+        if (again) {
+            gateway_.pool_.giveBack(boxName_, std::move(box_), Gateway::now());
+        } else {
+            dropBox();
+        }
+        next(keepAlive_);
+    }
+
+    // The client has had a part of an answer: all that is left is to break off, so that it is not taken for
+    // whole.
+    void cutShort() {
+        ++gateway_.figures_.cutShort;
+        gateway_.tally_.requestFailed(klass_, Gateway::now());
+        dropBox();
+        leave();
+    }
+
+    void boxEnded(bool dialling) {
+        if (dialling) return tryEnded({Came::noConnection, 0, 0, false});
+        const Stream* const mine = box_.get();
+        if (!answering_) {
+            boxReadable();  // what came before the end still counts
+            if (box_.get() != mine) return;
+        }
+        if (answering_) {
+            passBody();
+            if (box_.get() != mine) return;
+            if (stream_->full()) return;  // the rest of the answer waits for the client
+            answerBody_->ended();
+            return answerBody_->done() ? answerOver() : cutShort();
+        }
+        // A connection that was kept may have ended before it got a byte of this request.
+        tryEnded({Came::broke, sent(), 0, false});
+    }
+
+    [[nodiscard]] std::uint64_t sent() const { return box_ && connected_ ? box_->written() - base_ : 0; }
+
+    void tryLate() {
+        if (box_ && !answering_) tryEnded({Came::timedOut, sent(), 0, false});
+    }
+
+    [[nodiscard]] Verdict decide(const TryEnd& end) {
+        tryLimit_.cancel();
+        const Micros now = Gateway::now();
+        gateway_.tally_.tried(boxName_, failed(end), now - tryBegan_, now);
+        wish_.timeLeft = until_ - now;
+        wish_.bodyKept = keptWhole_;
+        const Verdict out = after(end, wish_, gateway_.steering_.retryMode(klass_), gateway_.budget_);
+        if (out.next == Next::again) ++gateway_.figures_.again;
+        return out;
+    }
+
+    void tryEnded(const TryEnd& end) {
+        const Verdict verdict = decide(end);
+        dropBox();
+        if (verdict.next == Next::again) return tryOne(end.came == Came::broke);
+        finish(verdict);
+    }
+
+    void finish(const Verdict& verdict) {
+        gateway_.tally_.requestFailed(klass_, Gateway::now());
+        tell(verdict.status, verdict.why, verdict.retryAfterS, head_.keepAlive);
+    }
+
+    void dropBox() {
+        tryLimit_.cancel();
+        if (!box_) return;
+        box_->close();
+        gateway_.loop_.bury(std::move(box_));
+        gateway_.pool_.lost(boxName_);
+    }
+
+    // ---- The end of a request ----
+
+    // An answer of our own: the final one, at once.
+    void tell(int status, const char* why, unsigned retryAfterS, bool keepAlive) {
+        ++gateway_.figures_.told;
+        dropBox();
+        const bool whole = state_ == State::forward && body_ && body_->done();
+        const bool stays = keepAlive && whole && !gateway_.draining_;
+        stream_->write(
+            ownAnswer(status, why, retryAfterS, stays, head_.method == "HEAD" && state_ == State::forward));
+        next(stays);
+    }
+
+    void next(bool stays) {
+        answering_ = false;
+        if (!stays) return leave();
+        waitForHead(gateway_.settings_.idleFor);
+        if (stream_->available() > 0) {
+            // The next one has come already: not within this call, so that many don't nest.
+            gateway_.loop_.post([this, alive = std::weak_ptr<int>(alive_)] {
+                if (!alive.expired() && state_ == State::head) readHead();
+            });
+        }
+    }
+
+    void late() {
+        if (state_ == State::head) {
+            if (stream_->available() == 0) return leave();
+            return tell(408, "the request did not come in time", 0, false);
+        }
+        if (answering_) return cutShort();
+        if (box_) return tryEnded({Came::timedOut, sent(), 0, false});
+        finish({Next::tell, 504, "there was no answer in time", 0});
+    }
+
+    void leave() {
+        if (state_ == State::over) return;
+        state_ = State::over;
+        limit_.cancel();
+        dropBox();
+        stream_->closeAfterWriting(kLinger);
+        gateway_.gone(this);
+    }
+
+    friend class Gateway;
+    Gateway& gateway_;
+    std::unique_ptr<Stream> stream_;
+    transport::Timer limit_, tryLimit_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    State state_ = State::head;
+
+    RequestHead head_;
+    std::size_t klass_ = 0;
+    std::optional<BodyReader> body_;
+    std::string kept_;
+    bool keptWhole_ = true, bodySent_ = true;
+    Wish wish_;
+    Micros until_ = 0, tryBegan_ = 0;
+    std::vector<std::string> tried_;
+
+    std::unique_ptr<Stream> box_;
+    std::string boxName_, endpoint_;
+    bool reused_ = false, connected_ = false, answering_ = false, keepAlive_ = true;
+    std::uint64_t base_ = 0;
+    std::optional<ResponseHead> answerHead_;
+    std::optional<BodyReader> answerBody_;
+    BodyFrame frame_;
+};
+
+Gateway::Gateway(transport::Loop& loop, const transport::Address& at, GatewaySettings settings,
+                 std::uint64_t seed)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      steering_(namesOf(settings_.classes), seed),
+      pool_(loop, settings_.pool),
+      tally_(settings_.classes.size(), now()),
+      budget_(settings_.retryRatio, settings_.retriesMost),
+      sweeping_(loop, [this] { sweep(); }),
+      drainLimit_(loop, [this] {
+          while (!clients_.empty()) clients_.begin()->first->goAway();
+          if (drained_) std::exchange(drained_, nullptr)();
+      }) {
+    if (settings_.classes.empty()) throw std::invalid_argument("a gateway needs a class");
+    listener_ = std::make_unique<transport::Listener>(loop, at, [this](evutil_socket_t fd) { accepted(fd); });
+    sweeping_.after(kSweepEvery);
+}
+
+Gateway::~Gateway() { clients_.clear(); }
+
+void Gateway::accepted(evutil_socket_t fd) {
+    if (draining_ || clients_.size() >= settings_.clientsMost) {
+        ++figures_.turnedAway;
+        ::close(fd);
+        return;
+    }
+    ++figures_.accepted;
+    auto client = std::make_unique<Client>(*this, fd);
+    Client* const key = client.get();
+    clients_[key] = std::move(client);
+}
+
+void Gateway::gone(Client* client) {
+    const auto at = clients_.find(client);
+    if (at == clients_.end()) return;
+    if (client->stream_->lingers()) leaving_.push_back(std::move(client->stream_));
+    loop_.bury(std::move(at->second));  // this may be the client's own call
+    clients_.erase(at);
+    if (draining_ && clients_.empty() && drained_) std::exchange(drained_, nullptr)();
+}
+
+void Gateway::steered() {
+    pool_.sweep(now(), [this](const std::string& box) { return steering_.maySendTo(box); });
+}
+
+void Gateway::sweep() {
+    steered();
+    std::erase_if(leaving_, [](const auto& stream) { return !stream->lingers(); });
+    sweeping_.after(kSweepEvery);
+}
+
+Count Gateway::takeCount() { return tally_.take(now()); }
+
+void Gateway::drain(std::function<void()> done) {
+    draining_ = true;
+    drained_ = std::move(done);
+    listener_.reset();
+    std::vector<Client*> idle;
+    for (const auto& [client, held] : clients_) {
+        if (client->idle()) idle.push_back(client);
+    }
+    for (Client* c : idle) c->goAway();
+    if (clients_.empty() && drained_) return std::exchange(drained_, nullptr)();
+    drainLimit_.after(millis(settings_.drainFor));
+}
+
+}  // namespace marldale::proxy
--- /dev/null
+++ b/src/proxy/settings.cpp
@@ -0,0 +1,182 @@
+#include "proxy/settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "transport/address.h"
+
+namespace marldale::proxy {
+namespace {
+
+using settings::Refused;
+using settings::Type;
+using settings::Value;
+
+RequestClass& classNamed(ProxySettings& s, const std::string& name) {
+    auto& all = s.gateway.classes;
+    const auto at =
+        std::find_if(all.begin(), all.end(), [&](const RequestClass& k) { return k.name == name; });
+    if (at != all.end()) return *at;
+    RequestClass out;
+    out.name = name;
+    return all.emplace_back(std::move(out));
+}
+
+class Keys {
+public:
+    Keys(settings::Schema& schema, ProxySettings& s) : schema_(schema), s_(s) {}
+
+    void text(const char* section, const char* name, Type type, std::string& into, const char* help,
+              const char* standard = "") {
+        schema_.key(section, name, type)
+            .otherwise(standard)
+            .means(help)
+            .to([&into](const std::string&, const Value& v) { into = v.text; });
+    }
+    template <class Number>
+    void whole(const char* section, const char* name, const char* unit, double least, double most,
+               Number& into, const char* help) {
+        const std::string standard = std::to_string(into);
+        schema_.key(section, name, Type::whole)
+            .range(unit, least, most)
+            .otherwise(standard.c_str())
+            .means(help)
+            .to([&into](const std::string&, const Value& v) { into = static_cast<Number>(v.whole()); });
+    }
+    void seconds(const char* section, const char* name, double most, Micros& into, const char* help) {
+        const std::string standard = std::to_string(into / 1000000);
+        schema_.key(section, name, Type::number)
+            .range("s", 0.05, most)
+            .otherwise(standard.c_str())
+            .means(help)
+            .to([&into](const std::string&, const Value& v) { into = std::llround(v.number * 1e6); });
+    }
+    void classes() {
+        const auto add = [this](const char* name, Type type, const char* help, auto set) {
+            schema_.key("class *", name, type)
+                .means(help)
+                .to([&s = s_, set](const std::string& klass, const Value& v) {
+                    set(classNamed(s, klass), v);
+                });
+        };
+        add("path", Type::text, "what its paths begin with", [](RequestClass& k, const Value& v) {
+            if (v.text.empty() || v.text.front() != '/') throw Refused("a path begins with /");
+            k.prefix = v.text;
+        });
+        add("method", Type::text, "its method; absent: any",
+            [](RequestClass& k, const Value& v) { k.method = v.text; });
+        add("fragile", Type::flag, "whether it must not run twice",
+            [](RequestClass& k, const Value& v) { k.fragile = v.flag; });
+        schema_.key("class *", "give_up_ms", Type::whole)
+            .range("ms", 10, 600000)
+            .otherwise("10000")
+            .means("until its client is told that it takes too long")
+            .to([&s = s_](const std::string& klass, const Value& v) {
+                classNamed(s, klass).giveUp = v.whole() * 1000;
+            });
+        schema_.key("class *", "try_ms", Type::whole)
+            .range("ms", 0, 600000)
+            .otherwise("0")
+            .means("of a try that another may follow; 0: as long as the request has")
+            .to([&s = s_](const std::string& klass, const Value& v) {
+                classNamed(s, klass).tryFor = v.whole() * 1000;
+            });
+    }
+
+private:
+    settings::Schema& schema_;
+    ProxySettings& s_;
+};
+
+void addKeys(settings::Schema& schema, ProxySettings& s) {
+    Keys keys(schema, s);
+    keys.text("proxy", "listen", Type::address, s.listen, "where clients come to", "127.0.0.1:8080");
+    keys.text("proxy", "zone", Type::text, s.planner.zone,
+              "its zone, as the planners' configuration names it");
+    keys.text("proxy", "node", Type::text, s.planner.node, "its name, the same after a restart", "proxy");
+    keys.whole("proxy", "relay", "", 0, 65534, s.planner.relay, "its number among the planners' relays");
+    schema.key("proxy", "usual_rate", Type::number)
+        .range("requests/s", 0, 1e6)
+        .otherwise("1")
+        .means("what it usually brings, told when it joins")
+        .to([&s](const std::string&, const Value& v) { s.planner.usualRate = v.number; });
+    keys.whole("proxy", "seed", "", 0, 1e15, s.seed, "where its rounds over boxes begin; 0: by its name");
+    keys.text("proxy", "discovery", Type::address, s.discovery,
+              "the list of boxes and their addresses; absent: [box UID]");
+    keys.whole("proxy", "clients_most", "", 1, 1000000, s.gateway.clientsMost,
+               "connections of clients at once");
+    keys.whole("proxy", "head_most", "bytes", 1024, 65536, s.gateway.heads.bytes, "of a message");
+    keys.whole("proxy", "fields_most", "", 10, 1000, s.gateway.heads.fields, "of a head");
+    keys.whole("proxy", "body_kept", "bytes", 0, 16777216, s.gateway.bodyKept,
+               "of a request, for another try");
+    keys.seconds("proxy", "head_within_s", 600, s.gateway.headWithin,
+                 "a head comes, or the client is let go");
+    keys.seconds("proxy", "idle_s", 3600, s.gateway.idleFor,
+                 "a client's connection waits for its next request");
+    keys.seconds("proxy", "stall_s", 600, s.gateway.stallFor, "an answer may stand still, whoever is slow");
+    keys.seconds("proxy", "drain_s", 600, s.gateway.drainFor, "requests under way have at SIGTERM");
+    keys.whole("boxes", "connections_most", "", 1, 100000, s.gateway.pool.perBox, "to each box");
+    keys.whole("boxes", "idle_most", "", 0, 10000, s.gateway.pool.idlePerBox, "kept for each box");
+    keys.seconds("boxes", "idle_s", 3600, s.gateway.pool.idleFor, "one is kept");
+    schema.key("boxes", "connect_ms", Type::whole)
+        .range("ms", 10, 60000)
+        .otherwise("1000")
+        .means("until a dial counts as come to nothing")
+        .to([&s](const std::string&, const Value& v) {
+            s.gateway.pool.connectWithin = transport::Millis{v.whole()};
+        });
+    schema.key("planners", "addresses", Type::list)
+        .means("of gRPC fronts; the first that answers has this proxy")
+        .to([&s](const std::string&, const Value& v) {
+            for (const std::string& item : v.items) {
+                if (!transport::parseAddress(item)) throw Refused(item + " is no address");
+            }
+            s.planner.planners = v.items;
+        });
+    keys.text("planners", "authority", Type::file, s.planner.authority,
+              "PEM: who vouches for planners; absent: plain text");
+    keys.text("planners", "certificate", Type::file, s.planner.certificate, "PEM: the proxy's own");
+    keys.text("planners", "key", Type::file, s.planner.key, "PEM: of that certificate");
+    schema.key("retries", "ratio", Type::number)
+        .range("", 0, 10)
+        .otherwise("0.2")
+        .means("further tries for each first one, whatever is ordered")
+        .to([&s](const std::string&, const Value& v) { s.gateway.retryRatio = v.number; });
+    schema.key("retries", "most", Type::number)
+        .range("", 0, 100000)
+        .otherwise("20")
+        .means("further tries saved up")
+        .to([&s](const std::string&, const Value& v) { s.gateway.retriesMost = v.number; });
+    schema.key("box *", "address", Type::address)
+        .means("of a box, by its uid")
+        .to([&s](const std::string& uid, const Value& v) { s.boxes[uid] = v.text; });
+    keys.classes();
+}
+
+}  // namespace
+
+ProxySettings readProxySettings(const std::string& file, const std::string& text,
+                                std::vector<settings::Problem>& problems) {
+    ProxySettings out;
+    settings::Schema schema;
+    addKeys(schema, out);
+    schema.take(file, settings::readIni(file, text, problems), problems);
+    const auto missing = [&](const char* what) { problems.push_back({file, 0, what}); };
+    if (out.gateway.classes.empty()) missing("there is no [class NAME]");
+    if (out.planner.planners.empty()) missing("[planners] addresses is missing");
+    if (out.planner.zone.empty()) missing("[proxy] zone is missing");
+    if (out.discovery.empty() && out.boxes.empty())
+        missing("there is neither [proxy] discovery nor a [box UID]");
+    if (out.planner.key.empty() != out.planner.certificate.empty())
+        missing("[planners] certificate and key go together");
+    return out;
+}
+
+std::string proxyKeys() {
+    ProxySettings any;
+    settings::Schema schema;
+    addKeys(schema, any);
+    return schema.table();
+}
+
+}  // namespace marldale::proxy
--- /dev/null
+++ b/src/proxy_program/main.cpp
@@ -0,0 +1,174 @@
+// marldale proxy: an HTTP/1.1 proxy that forwards as its planners' tables say.
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <map>
+
+#include "bytes/mix.h"
+#include "proxy/planner_side.h"
+#include "routing/catalog_watch.h"
+
+namespace {
+
+using marldale::Micros;
+using marldale::proxy::Gateway;
+using marldale::proxy::ListedBox;
+using marldale::proxy::ProxySettings;
+using marldale::settings::Problem;
+
+enum Status { kRight = 0, kFailed = 1, kMisunderstood = 2 };
+
+// A line for each topic and second at most; what was left out is told with the next one.
+class Log {
+public:
+    void operator()(const char* topic, const std::string& text) {
+        const Micros now = Gateway::now();
+        Topic& t = topics_[topic];
+        if (now - t.last < 1000000 && t.last != 0 && ++t.leftOut > 5) return;
+        const auto wall =
+            std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+        std::fprintf(
+            stderr, "%.3f marldale-proxy: %s: %s%s\n", wall, topic, text.c_str(),
+            t.leftOut > 5 ? (" (" + std::to_string(t.leftOut - 5) + " lines left out)").c_str() : "");
+        if (now - t.last >= 1000000) t = {now, 0};
+    }
+
+private:
+    struct Topic {
+        Micros last = 0;
+        std::uint64_t leftOut = 0;
+    };
+    std::map<std::string, Topic> topics_;
+};
+
+std::uint64_t seedOf(const ProxySettings& s) {
+    if (s.seed != 0) return s.seed;
+    std::uint64_t out = 1;
+    for (const char c : s.planner.node) out = marldale::bytes::mixed(out ^ static_cast<unsigned char>(c));
+    return out;
+}
+
+// The list's words as the proxy needs them.
+void listed(Gateway& gateway, const marldale::protocol::CatalogNews& news) {
+    std::map<std::string, ListedBox> boxes;
+    for (const auto& entry : news.entries) boxes[entry.uid] = {entry.endpoint, entry.state};
+    gateway.steering().listed(boxes, news.whole);
+    gateway.steered();
+}
+
+class Program {
+public:
+    explicit Program(ProxySettings settings)
+        : settings_(std::move(settings)),
+          gateway_(loop_, *marldale::transport::parseAddress(settings_.listen), settings_.gateway,
+                   seedOf(settings_)),
+          term_(loop_, SIGTERM, [this] { end("SIGTERM"); }),
+          interrupt_(loop_, SIGINT, [this] { end("SIGINT"); }),
+          hangup_(loop_, SIGHUP, [this] { tellFigures(); }),
+          telling_(loop_, [this] { tellStanding(); }) {}
+
+    int run() {
+        const auto log = [this](const char* topic, const std::string& text) { log_(topic, text); };
+        std::map<std::string, ListedBox> boxes;
+        for (const auto& [uid, address] : settings_.boxes)
+            boxes[uid] = {address, marldale::ServerState::ready};
+        gateway_.steering().listed(boxes, true);
+        if (!settings_.discovery.empty()) {
+            const auto take = [this](const marldale::routing::Input& input) {
+                if (const auto* list = std::get_if<marldale::routing::ListInput>(&input))
+                    listed(gateway_, list->news);
+                return true;
+            };
+            catalog_ = std::make_unique<marldale::routing::CatalogWatch>(
+                loop_, *marldale::transport::parseAddress(settings_.discovery), 0, seedOf(settings_), take,
+                log);
+            catalog_->fetchList();
+        }
+        planners_ = std::make_unique<marldale::proxy::PlannerSide>(loop_, gateway_, settings_.planner, log);
+        log_("phase", "serving on 127.0.0.1:" + std::to_string(gateway_.port()));
+        telling_.after(marldale::transport::Millis{1000});
+        loop_.run();
+        log_("phase", "ended");
+        return kRight;
+    }
+
+private:
+    void tellStanding() {
+        const auto standing = gateway_.steering().standing();
+        if (standing != standing_) log_("tables", name(standing));
+        standing_ = standing;
+        telling_.after(marldale::transport::Millis{1000});
+    }
+    void tellFigures() {
+        const auto& f = gateway_.figures();
+        std::string text = std::to_string(f.requests) + " requests, " + std::to_string(f.tries) + " tries, " +
+                           std::to_string(f.again) + " again, " + std::to_string(f.passedOn) +
+                           " passed on, " + std::to_string(f.told) + " told, " + std::to_string(f.cutShort) +
+                           " cut short, " + std::to_string(f.levelRefused) + " over the level, " +
+                           std::to_string(f.unpicked) + " without a box, " + std::to_string(f.clientsGone) +
+                           " clients gone, " + std::to_string(f.turnedAway) + " clients turned away, " +
+                           std::to_string(gateway_.clients()) + " clients here";
+        log_("figures", text);
+    }
+    void end(const char* why) {
+        if (ending_) return loop_.stop();
+        ending_ = true;
+        log_("phase", std::string(why) + " has come, requests under way are ended");
+        gateway_.drain([this] {
+            planners_->bye();
+            tellFigures();
+            loop_.post([this] { loop_.stop(); });
+        });
+    }
+
+    const ProxySettings settings_;
+    Log log_;
+    marldale::transport::Loop loop_;
+    Gateway gateway_;
+    std::unique_ptr<marldale::routing::CatalogWatch> catalog_;
+    std::unique_ptr<marldale::proxy::PlannerSide> planners_;
+    marldale::transport::Signal term_, interrupt_, hangup_;
+    marldale::transport::Timer telling_;
+    marldale::proxy::Standing standing_ = marldale::proxy::Standing::waiting;
+    bool ending_ = false;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"A proxy that forwards as its planners' tables say.", "marldale proxy"};
+    std::string file;
+    bool check = false, keys = false;
+    app.add_option("--settings", file, "its settings, INI");
+    app.add_flag("--check", check, "read them, tell all that is wrong, and end");
+    app.add_flag("--keys", keys, "every key, in Markdown");
+    if (argc > 1 && std::string_view(argv[1]) == "proxy") {  // as `marldale proxy` hands it on
+        ++argv;
+        --argc;
+    }
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? kRight : kMisunderstood;
+    }
+    if (keys) {
+        std::fputs(marldale::proxy::proxyKeys().c_str(), stdout);
+        return kRight;
+    }
+    std::vector<Problem> problems;
+    std::string text;
+    if (file.empty()) problems.push_back({"marldale proxy", 0, "--settings FILE is needed"});
+    ProxySettings settings;
+    if (!file.empty() && marldale::settings::readFile(file, text, problems))
+        settings = marldale::proxy::readProxySettings(file, text, problems);
+    for (const Problem& p : problems) std::fprintf(stderr, "%s\n", p.shown().c_str());
+    if (!problems.empty()) return kMisunderstood;
+    if (check) return kRight;
+    try {
+        return Program(std::move(settings)).run();
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "marldale proxy: %s\n", e.what());
+        return kFailed;
+    }
+}
