--- a/src/proxy/planner_side.h
+++ b/src/proxy/planner_side.h
@@ -40,6 +40,7 @@
     const PlannerSettings settings_;
     const routing::Logger log_;
     transport::Timer gathering_;
+    std::string lastWhy_;
     std::mutex mutex_;
     Count gathered_;                                              // under the mutex
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // of the loop's thread
--- a/src/proxy_program/main.cpp
+++ b/src/proxy_program/main.cpp
@@ -86,7 +86,9 @@
             catalog_->fetchList();
         }
         planners_ = std::make_unique<marldale::proxy::PlannerSide>(loop_, gateway_, settings_.planner, log);
-        log_("phase", "serving on 127.0.0.1:" + std::to_string(gateway_.port()));
+        const auto host = marldale::transport::parseAddress(settings_.listen)->host;
+        log_("phase", "serving on " + host + ":" + std::to_string(gateway_.port()));
+        log_("tables", name(standing_));
         telling_.after(marldale::transport::Millis{1000});
         loop_.run();
         log_("phase", "ended");
