Proxy: why there is no planner, and for how long, in the log

Measured: with an address that refuses, the reason within a second and the standing after 10 s and every minute.

--- a/src/proxy/planner_side.cpp
+++ b/src/proxy/planner_side.cpp
@@ -152,6 +152,8 @@
     if (there) log_("planner", "a planner has this proxy: " + why);
     if (!there && before != after)
         log_("planner", std::string(name(after)) + ", the last tables hold: " + why);
+    if (!there && before == after && why != lastWhy_) log_("planner", "there is none: " + why);
+    lastWhy_ = there ? "" : why;
 }
 
 void PlannerSide::gather() {
--- a/src/proxy_program/main.cpp
+++ b/src/proxy_program/main.cpp
@@ -17,6 +17,8 @@
 using marldale::proxy::ProxySettings;
 using marldale::settings::Problem;
 
+constexpr int kTellAloneS = 10, kTellAgainS = 60;
+
 enum Status { kRight = 0, kFailed = 1, kMisunderstood = 2 };
 
 // A line for each topic and second at most; what was left out is told with the next one.
@@ -100,6 +102,9 @@
         const auto standing = gateway_.steering().standing();
         if (standing != standing_) log_("tables", name(standing));
         standing_ = standing;
+        aloneS_ = standing == marldale::proxy::Standing::steered ? 0 : aloneS_ + 1;
+        if (aloneS_ == kTellAloneS || (aloneS_ > 0 && aloneS_ % kTellAgainS == 0))
+            log_("tables", std::string(name(standing)) + " for " + std::to_string(aloneS_) + " s");
         telling_.after(marldale::transport::Millis{1000});
     }
     void tellFigures() {
@@ -133,6 +138,7 @@
     marldale::transport::Signal term_, interrupt_, hangup_;
     marldale::transport::Timer telling_;
     marldale::proxy::Standing standing_ = marldale::proxy::Standing::waiting;
+    int aloneS_ = 0;  // seconds without a planner
     bool ending_ = false;
 };
 
