--- a/clients/cpp/marldale/relay_tables.cpp
+++ b/clients/cpp/marldale/relay_tables.cpp
@@ -160,6 +160,11 @@
     return "an order of a later version";
 }
 
+bool RelayTables::isBound(std::uint32_t relay, const std::string& className) const {
+    const auto mine = bound_.find(relay);
+    return mine != bound_.end() && mine->second.count(className) != 0;
+}
+
 const RelayTables::Table* RelayTables::tableOf(std::uint32_t relay, const std::string& className) const {
     const auto mine = bound_.find(relay);
     if (mine == bound_.end()) return nullptr;
--- a/clients/cpp/marldale/relay_tables.h
+++ b/clients/cpp/marldale/relay_tables.h
@@ -42,7 +42,9 @@
     void join(std::uint32_t relay);
     void leave(std::uint32_t relay);
 
-    // The table that a relay uses for a class; null if it is not bound for it.
+    // Whether a relay is bound for a class, be it to a table that has been emptied.
+    [[nodiscard]] bool isBound(std::uint32_t relay, const std::string& className) const;
+    // The table that a relay uses for a class; null if it is not bound for it, or its table is empty.
     [[nodiscard]] const Table* tableOf(std::uint32_t relay, const std::string& className) const;
     // Its lines but for servers that are shut out.
     [[nodiscard]] std::map<std::string, float> linesOf(std::uint32_t relay,
--- a/fuzz/fuzz.cpp
+++ b/fuzz/fuzz.cpp
@@ -9,7 +9,10 @@
 #include "attempts/journal.h"
 #include "emulator/scenario.h"
 #include "proxy/body.h"
+#include "proxy/order_book.h"
+#include "proxy/order_text.h"
 #include "proxy/slow_reader.h"
+#include "proxy/table_snapshot.h"
 #include "recovery/snapshot.h"
 #include "sources/import_settings.h"
 #include "sources/readers.h"
@@ -171,6 +174,41 @@
     must(one.bad() != nullptr || (taken == at && first == second && one.trailers() == two.trailers()));
 }
 
+// Calls of a planner, a line each, to a book with room for little.
+[[maybe_unused]] void orders(std::string_view bytes) {
+    const proxy::BookLimits limits{8, 32, 8};
+    proxy::OrderBook book({"a", "b"}, 7, limits);
+    book.join();
+    while (!bytes.empty()) {
+        const auto end = std::min(bytes.find('\n'), bytes.size());
+        const auto call = proxy::ordersOf(bytes.substr(0, end));
+        const auto outcome = book.apply(call);
+        must(outcome.taken <= call.size() && (outcome.taken == call.size()) == outcome.refused.empty());
+        must(book.tables() <= limits.tables && book.lines() <= limits.lines);
+        const proxy::Orders now = book.orders();
+        must(now.shut.size() <= limits.shut && now.byClass.size() <= 2);
+        for (const auto& [name, order] : now.byClass) {
+            must(order.limit >= 0 && order.retryMode <= 3);
+            for (const auto& [box, weight] : order.lines) must(weight > 0);
+        }
+        bytes.remove_prefix(std::min(end + 1, bytes.size()));
+    }
+}
+
+[[maybe_unused]] void tables(std::string_view bytes) {
+    std::string wrong;
+    const auto as = [&](const std::string& whole) {
+        const auto read = proxy::decodeTables(whole, wrong);
+        must(read.has_value() || !wrong.empty());
+        if (!read) return;
+        const auto again = proxy::decodeTables(proxy::encode(*read), wrong);
+        must(again && again->orders.byClass == read->orders.byClass &&
+             again->orders.shut == read->orders.shut);
+    };
+    as(std::string(bytes));
+    as(proxy::sealed(bytes));  // as if it had been written so
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -186,6 +224,8 @@
     if (which == "handover") handover(bytes);
     if (which == "scenario") scenario(bytes);
     if (which == "http") http(bytes);
+    if (which == "orders") orders(bytes);
+    if (which == "tables") tables(bytes);
     if (which == "format") {  // a format in the first line, and lines to be read by it
         const auto end = std::min(bytes.find('\n'), bytes.size());
         if (auto format = formatOf(bytes.substr(0, end)))
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -21,6 +21,19 @@
 
 }  // namespace
 
+RetryBudgets::RetryBudgets(Size overAll, Size ofClass, std::size_t classes)
+    : overAll_(overAll.ratio, overAll.most),
+      byClass_(classes, attempts::RetryBudget(ofClass.ratio, ofClass.most)) {}
+
+void RetryBudgets::firstTry(std::size_t klass) {
+    overAll_.firstTry();
+    byClass_[klass].firstTry();
+}
+
+bool RetryBudgets::take(std::size_t klass) {
+    return overAll_.kept() >= 1 && byClass_[klass].take() && overAll_.take();
+}
+
 const char* name(Came came) {
     switch (came) {
         case Came::answer: return "answer";
@@ -41,13 +54,13 @@
 
 bool failed(const TryEnd& end) { return end.came != Came::answer || end.status >= 500; }
 
-Verdict after(const TryEnd& end, const Wish& wish, unsigned mode, attempts::RetryBudget& budget) {
+Verdict after(const TryEnd& end, const Wish& wish, unsigned mode, RetryBudgets& budgets) {
     const Verdict final = told(end);
     const bool unrun = provenUnrun(end);
     if (end.came == Came::answer && !unrun && end.status < 500) return final;
     if (wish.tries >= triesMost(mode) || wish.timeLeft <= 0 || !wish.bodyKept) return final;
     if (!unrun && (mode < 2 || wish.fragile)) return final;
-    if (!budget.take()) return final;
+    if (!budgets.take(wish.klass)) return final;
     return {Next::again, 0, "", 0};
 }
 
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -8,6 +8,8 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
+#include <vector>
 
 #include "attempts/gate.h"
 #include "policy/types.h"
@@ -32,7 +34,24 @@
 [[nodiscard]] bool provenUnrun(const TryEnd& end);
 [[nodiscard]] bool failed(const TryEnd& end);  // for reports: no answer, or 5xx
 
+// Further tries that there are to spend: over all classes, and for each. One that is taken is taken from
+// both.
+class RetryBudgets {
+public:
+    struct Size {
+        double ratio = 0.2, most = 20;
+    };
+    RetryBudgets(Size overAll, Size ofClass, std::size_t classes);
+    void firstTry(std::size_t klass);
+    [[nodiscard]] bool take(std::size_t klass);
+
+private:
+    attempts::RetryBudget overAll_;
+    std::vector<attempts::RetryBudget> byClass_;
+};
+
 struct Wish {
+    std::size_t klass = 0;
     bool fragile = false;  // it must not run twice
     bool bodyKept = true;  // all of its body that was sent can be sent again
     unsigned tries = 1;    // made so far
@@ -42,14 +61,13 @@
 struct Verdict {
     Next next = Next::passOn;
     int status = 0;  // to tell
-    const char* why = "";
+    std::string_view why;
     unsigned retryAfterS = 0;  // 0: nothing is said of it
     bool operator==(const Verdict&) const = default;
 };
 
-// After a try. `mode`: as ordered; `budget`: one more is taken from it only if there is another try.
-[[nodiscard]] Verdict after(const TryEnd& end, const Wish& wish, unsigned mode,
-                            attempts::RetryBudget& budget);
+// After a try. `mode`: as ordered; `budgets`: one more is taken from them only if there is another try.
+[[nodiscard]] Verdict after(const TryEnd& end, const Wish& wish, unsigned mode, RetryBudgets& budgets);
 // Before any: nothing to pick, or turned away by the level.
 [[nodiscard]] Verdict nothingToPick(bool hasTables);
 [[nodiscard]] Verdict turnedAway();
--- a/src/proxy/box_pool.cpp
+++ b/src/proxy/box_pool.cpp
@@ -21,8 +21,11 @@
     }
     const auto address = transport::parseAddress(endpoint);
     if (!address || b.used >= limits_.perBox) return {nullptr, true};
+    tls::SslHandle tls;
+    if (tls_.context) tls = tls_.context->connection(tls_.name.empty() ? address->host : tls_.name);
+    auto stream = std::make_unique<Stream>(loop_, *address, limits_.connectWithin, std::move(tls));
     ++b.used;
-    return {std::make_unique<Stream>(loop_, *address, limits_.connectWithin), true};
+    return {std::move(stream), true};
 }
 
 void BoxPool::giveBack(const std::string& box, std::unique_ptr<Stream> stream, Micros now) {
--- a/src/proxy/box_pool.h
+++ b/src/proxy/box_pool.h
@@ -19,9 +19,16 @@
     transport::Millis connectWithin{1000};
 };
 
+// Boxes prove who they are to the authority's satisfaction, by `name`, or by the address that was dialled.
+struct BoxTls {
+    std::shared_ptr<const tls::Context> context;  // null: plain TCP
+    std::string name;
+};
+
 class BoxPool {
 public:
-    BoxPool(transport::Loop& loop, PoolLimits limits) : loop_(loop), limits_(limits) {}
+    BoxPool(transport::Loop& loop, PoolLimits limits, BoxTls tls = {})
+        : loop_(loop), limits_(limits), tls_(std::move(tls)) {}
 
     struct Lease {
         std::unique_ptr<Stream> stream;  // null: there is no room, or the address is none
@@ -48,6 +55,7 @@
     };
     transport::Loop& loop_;
     const PoolLimits limits_;
+    const BoxTls tls_;
     std::map<std::string, Box> boxes_;
 };
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -37,7 +37,24 @@
 
 }  // namespace
 
-std::string toBox(const RequestHead& head, Micros timeLeft) {
+std::string upgradeOf(const RequestHead& head, const std::string& allowed) {
+    const std::string* asked = valueOf(head.fields, "upgrade");
+    const bool can = head.minor == 1 && head.body.framing == Framing::none && !allowed.empty();
+    // One protocol, named in Connection too (RFC 9110, 7.8).
+    return can && asked != nullptr && sameName(*asked, allowed) && namesConnection(head.fields, "upgrade")
+               ? allowed
+               : "";
+}
+
+std::string switching(const ResponseHead& head, const std::string& upgrade) {
+    std::string out = "HTTP/1.1 101 Switching Protocols\r\n";
+    addFields(out, head.fields, {});
+    add(out, "Upgrade", upgrade);
+    add(out, "Connection", "Upgrade");
+    return out + "\r\n";
+}
+
+std::string toBox(const RequestHead& head, Micros timeLeft, const std::string& upgrade) {
     std::string out = head.method + ' ' + head.target + " HTTP/1.1\r\n";
     addFields(out, head.fields, head.body);
     if (head.minor == 0 && valueOf(head.fields, "host") == nullptr) add(out, "Host", "");
@@ -46,6 +63,10 @@
     if (saysNone) add(out, "Content-Length", "0");
     add(out, "Via", head.minor == 1 ? "1.1 marldale" : "1.0 marldale");
     add(out, "Marldale-Time-Left-Ms", std::to_string(std::max<Micros>(0, timeLeft / 1000)));
+    if (!upgrade.empty()) {
+        add(out, "Upgrade", upgrade);
+        add(out, "Connection", "Upgrade");
+    }
     return out + "\r\n";
 }
 
@@ -69,7 +90,7 @@
     return out + "\r\n";
 }
 
-std::string ownAnswer(int status, const char* why, unsigned retryAfterS, bool keepAlive, bool headOnly) {
+std::string ownAnswer(int status, std::string_view why, unsigned retryAfterS, bool keepAlive, bool headOnly) {
     const std::string body = std::string(why) + "\n";
     std::string out = "HTTP/1.1 " + std::to_string(status) + ' ' + reasonOf(status) + "\r\n";
     add(out, "Content-Type", "text/plain");
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -36,12 +36,13 @@
 public:
     Client(Gateway& gateway, evutil_socket_t fd)
         : gateway_(gateway),
-          stream_(std::make_unique<Stream>(gateway.loop_, fd)),
+          stream_(std::make_unique<Stream>(gateway.loop_, fd, tlsOf(gateway))),
           limit_(gateway.loop_, [this] { late(); }),
           tryLimit_(gateway.loop_, [this] { tryLate(); }) {
         Stream::Handlers handlers;
         handlers.readable = [this] { readable(); };
         handlers.drained = [this] { boxReadable(); };
+        handlers.halfClosed = [this] { return saysNoMore(); };
         handlers.ended = [this](bool) { clientGone(); };
         stream_->setHandlers(std::move(handlers));
         waitForHead(gateway.settings_.headWithin);
@@ -54,7 +55,11 @@
     void goAway() { leave(); }
 
 private:
-    enum class State : std::uint8_t { head, forward, over };
+    enum class State : std::uint8_t { head, forward, changed, over };  // changed: another protocol
+
+    static tls::SslHandle tlsOf(const Gateway& gateway) {
+        return gateway.settings_.clientTls ? gateway.settings_.clientTls->connection("") : nullptr;
+    }
 
     void waitForHead(Micros within) {
         state_ = State::head;
@@ -66,6 +71,18 @@
     void readable() {
         if (state_ == State::head) return readHead();
         if (state_ == State::forward) return forwardBody();
+        if (state_ == State::changed) pass(*stream_, *box_);
+    }
+
+    // True: it waits for the answer to what it has asked for.
+    bool saysNoMore() {
+        if (state_ == State::changed) {
+            pass(*stream_, *box_);
+            return false;
+        }
+        const bool waits = gateway_.settings_.halfClose && state_ == State::forward && body_->done();
+        noMore_ = waits;
+        return waits;
     }
 
     void readHead() {
@@ -94,12 +111,13 @@
         bodySent_ = head_.body.framing == Framing::none;
         answering_ = false;
         tried_.clear();
-        wish_ = {k.fragile, true, 0, k.giveUp};
+        wish_ = {klass_, k.fragile, true, 0, k.giveUp};
+        upgrade_ = upgradeOf(head_, k.upgrade);
         until_ = now + k.giveUp;
         limit_.after(millis(k.giveUp));
         ++gateway_.figures_.requests;
         gateway_.tally_.came(klass_, now);
-        gateway_.budget_.firstTry();
+        gateway_.budgets_.firstTry(klass_);
         if (!gateway_.steering_.admits(klass_, now)) {
             ++gateway_.figures_.levelRefused;
             const Verdict v = turnedAway();
@@ -146,6 +164,11 @@
 
     void clientGone() {
         if (state_ == State::forward) ++gateway_.figures_.clientsGone;
+        if (state_ == State::changed && box_) {  // its last words still go out
+            box_->closeAfterWriting(kLinger);
+            gateway_.leaving_.push_back(std::move(box_));
+            gateway_.pool_.lost(boxName_);
+        }
         dropBox();  // its try is cancelled
         leave();
     }
@@ -170,7 +193,7 @@
         tryBegan_ = Gateway::now();
         // A connection that was kept may end just as a request goes out on it, and then nobody knows whether
         // it ran.
-        const bool fresh = freshOnly || gateway_.settings_.classes[klass_].fragile;
+        const bool fresh = freshOnly || gateway_.settings_.classes[klass_].fragile || !upgrade_.empty();
         auto lease = gateway_.pool_.lease(box, endpoint, fresh);
         box_ = std::move(lease.stream);
         reused_ = !lease.fresh;
@@ -180,7 +203,7 @@
         Stream::Handlers handlers;
         handlers.connected = [this] { boxConnected(); };
         handlers.readable = [this] { boxReadable(); };
-        handlers.drained = [this] { forwardBody(); };
+        handlers.drained = [this] { boxDrained(); };
         handlers.ended = [this](bool dialling) { boxEnded(dialling); };
         box_->setHandlers(std::move(handlers));
         const RequestClass& k = gateway_.settings_.classes[klass_];
@@ -194,7 +217,7 @@
         if (!gateway_.steering_.maySendTo(boxName_)) return withdrawn();
         connected_ = true;
         base_ = box_->written();
-        box_->write(toBox(head_, until_ - Gateway::now()));
+        box_->write(toBox(head_, until_ - Gateway::now(), upgrade_));
         if (!kept_.empty()) box_->write(framedPiece(head_.body.framing, kept_));
         if (bodySent_ && head_.body.framing != Framing::none)
             box_->write(framedEnd(head_.body.framing, body_->trailers()));
@@ -210,8 +233,14 @@
         tryOne(false);
     }
 
+    void boxDrained() {
+        if (state_ == State::changed) return pass(*stream_, *box_);
+        forwardBody();
+    }
+
     void boxReadable() {
         if (!box_ || !connected_) return;
+        if (state_ == State::changed) return pass(*box_, *stream_);
         if (!answerHead_ && !readAnswer()) return;
         passBody();
     }
@@ -232,6 +261,10 @@
                 return false;
             }
             box_->take(length);
+            if (head.status == 101 && !upgrade_.empty()) {
+                change(head);
+                return false;
+            }
             if (head.status == 101) {
                 tryEnded({Came::badAnswer, sent(), 0, false});
                 return false;
@@ -241,6 +274,30 @@
         }
     }
 
+    // The box has taken the other protocol: from here on bytes are passed on unread, both ways, each side no
+    // faster than the other reads.
+    void change(const ResponseHead& head) {
+        (void)decide({Came::answer, sent(), head.status, false});
+        ++gateway_.figures_.upgraded;
+        state_ = State::changed;
+        stream_->write(switching(head, upgrade_));
+        limit_.after(millis(gateway_.settings_.upgradedIdleFor));
+        pass(*box_, *stream_);
+        if (state_ == State::changed) pass(*stream_, *box_);
+    }
+
+    void pass(Stream& from, Stream& to) {
+        bool moved = false;
+        while (from.available() > 0 && !to.full()) {
+            const std::string_view bytes = from.peek(16384);
+            to.write(bytes);
+            from.take(bytes.size());
+            moved = true;
+        }
+        if (moved) limit_.after(millis(gateway_.settings_.upgradedIdleFor));
+        if (&from == box_.get() && !from.open() && from.available() == 0) leave();
+    }
+
     bool answered(ResponseHead head) {
         const TryEnd end{Came::answer, sent(), head.status, valueOf(head.fields, kNotRun) != nullptr};
         const Verdict verdict = decide(end);
@@ -254,7 +311,7 @@
         answering_ = true;
         if (answerHead_->status >= 500) gateway_.tally_.requestFailed(klass_, Gateway::now());
         // A request that is not whole yet can't be followed by another on this connection.
-        keepAlive_ = head_.keepAlive && bodySent_ && !gateway_.draining_;
+        keepAlive_ = head_.keepAlive && bodySent_ && !noMore_ && !gateway_.draining_;
         frame_ = toClientFrame(*answerHead_, head_.minor);
         if (frame_.framing == Framing::untilClose) keepAlive_ = false;
         stream_->write(toClient(*answerHead_, frame_, keepAlive_));
@@ -275,6 +332,10 @@
             if (answerBody_->bad() != nullptr) return cutShort();
         }
         if (moved) limit_.after(millis(gateway_.settings_.stallFor));
+        if (!answerBody_->done() && box_ && !box_->open() && box_->available() == 0) {
+            if (box_->endedWhole()) answerBody_->ended();
+            if (!answerBody_->done()) return cutShort();
+        }
         if (answerBody_->done()) answerOver();
     }
 
@@ -302,17 +363,8 @@
     void boxEnded(bool dialling) {
         if (dialling) return tryEnded({Came::noConnection, 0, 0, false});
         const Stream* const mine = box_.get();
-        if (!answering_) {
-            boxReadable();  // what came before the end still counts
-            if (box_.get() != mine) return;
-        }
-        if (answering_) {
-            passBody();
-            if (box_.get() != mine) return;
-            if (stream_->full()) return;  // the rest of the answer waits for the client
-            answerBody_->ended();
-            return answerBody_->done() ? answerOver() : cutShort();
-        }
+        boxReadable();  // what came before the end still counts, and an answer that has begun sees to its end
+        if (box_.get() != mine || answering_ || state_ == State::changed) return;
         // A connection that was kept may have ended before it got a byte of this request.
         tryEnded({Came::broke, sent(), 0, false});
     }
@@ -329,7 +381,7 @@
         gateway_.tally_.tried(boxName_, failed(end), now - tryBegan_, now);
         wish_.timeLeft = until_ - now;
         wish_.bodyKept = keptWhole_;
-        const Verdict out = after(end, wish_, gateway_.steering_.retryMode(klass_), gateway_.budget_);
+        const Verdict out = after(end, wish_, gateway_.steering_.retryMode(klass_), gateway_.budgets_);
         if (out.next == Next::again) ++gateway_.figures_.again;
         return out;
     }
@@ -357,11 +409,11 @@
     // ---- The end of a request ----
 
     // An answer of our own: the final one, at once.
-    void tell(int status, const char* why, unsigned retryAfterS, bool keepAlive) {
+    void tell(int status, std::string_view why, unsigned retryAfterS, bool keepAlive) {
         ++gateway_.figures_.told;
         dropBox();
         const bool whole = state_ == State::forward && body_ && body_->done();
-        const bool stays = keepAlive && whole && !gateway_.draining_;
+        const bool stays = keepAlive && whole && !noMore_ && !gateway_.draining_;
         stream_->write(
             ownAnswer(status, why, retryAfterS, stays, head_.method == "HEAD" && state_ == State::forward));
         next(stays);
@@ -384,6 +436,7 @@
             if (stream_->available() == 0) return leave();
             return tell(408, "the request did not come in time", 0, false);
         }
+        if (state_ == State::changed) return leave();
         if (answering_) return cutShort();
         if (box_) return tryEnded({Came::timedOut, sent(), 0, false});
         finish({Next::tell, 504, "there was no answer in time", 0});
@@ -413,6 +466,8 @@
     Wish wish_;
     Micros until_ = 0, tryBegan_ = 0;
     std::vector<std::string> tried_;
+    std::string upgrade_;
+    bool noMore_ = false;  // the client has said its last word
 
     std::unique_ptr<Stream> box_;
     std::string boxName_, endpoint_;
@@ -428,9 +483,10 @@
     : loop_(loop),
       settings_(std::move(settings)),
       steering_(namesOf(settings_.classes), seed),
-      pool_(loop, settings_.pool),
+      pool_(loop, settings_.pool, settings_.boxTls),
       tally_(settings_.classes.size(), now()),
-      budget_(settings_.retryRatio, settings_.retriesMost),
+      budgets_({settings_.retryRatio, settings_.retriesMost},
+               {settings_.classRetryRatio, settings_.classRetriesMost}, settings_.classes.size()),
       sweeping_(loop, [this] { sweep(); }),
       drainLimit_(loop, [this] {
           while (!clients_.empty()) clients_.begin()->first->goAway();
@@ -449,8 +505,15 @@
         ::close(fd);
         return;
     }
+    std::unique_ptr<Client> client;
+    try {
+        client = std::make_unique<Client>(*this, fd);
+    } catch (const std::runtime_error&) {  // no memory for a connection, or for its keys
+        ++figures_.turnedAway;
+        ::close(fd);
+        return;
+    }
     ++figures_.accepted;
-    auto client = std::make_unique<Client>(*this, fd);
     Client* const key = client.get();
     clients_[key] = std::move(client);
 }
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -24,23 +24,30 @@
     bool fragile = false;              // it must not run twice
     Micros giveUp = 10 * 1000000LL;    // until the client is told that it takes too long
     Micros tryFor = 0;                 // of a try that another may follow; 0: as long as the request has
+    std::string upgrade;               // a protocol that may be changed to; empty: none is passed on
 };
 
 struct GatewaySettings {
     std::vector<RequestClass> classes;  // the first that fits; the last one takes the rest
     HeadLimits heads;
     PoolLimits pool;
+    BoxTls boxTls;
+    std::shared_ptr<const tls::Context> clientTls;  // null: plain TCP
+    bool halfClose = false;  // a client that says no more still gets its answer; else it counts as gone
     std::size_t clientsMost = 10000;
     std::size_t bodyKept = 65536;  // bytes of a request's body that are kept for another try
     Micros headWithin = 10 * 1000000LL, idleFor = 60 * 1000000LL, stallFor = 15 * 1000000LL;
     Micros drainFor = 10 * 1000000LL;
-    double retryRatio = 0.2, retriesMost = 20;
+    Micros upgradedIdleFor = 600 * 1000000LL;  // a connection that changed its protocol stands still
+    // Further tries: for each first one, and saved up, over all classes and for each one.
+    double retryRatio = 0.2, retriesMost = 20, classRetryRatio = 0.2, classRetriesMost = 20;
 };
 
 struct GatewayFigures {
     std::uint64_t accepted = 0, turnedAway = 0;  // clients
     std::uint64_t requests = 0, refusedHeads = 0, levelRefused = 0, unpicked = 0;
     std::uint64_t tries = 0, again = 0, passedOn = 0, told = 0, cutShort = 0, clientsGone = 0;
+    std::uint64_t upgraded = 0;
 };
 
 class Gateway {
@@ -76,7 +83,7 @@
     Steering steering_;
     BoxPool pool_;
     Tally tally_;
-    attempts::RetryBudget budget_;
+    RetryBudgets budgets_;
     GatewayFigures figures_;
     std::map<Client*, std::unique_ptr<Client>> clients_;
     std::list<std::unique_ptr<Stream>> leaving_;  // clients' connections that linger
--- a/src/proxy/head.cpp
+++ b/src/proxy/head.cpp
@@ -241,6 +241,15 @@
     return std::nullopt;
 }
 
+bool namesConnection(const Fields& fields, std::string_view option) {
+    bool named = false;
+    for (const Field& f : fields) {
+        if (sameName(f.name, "connection"))
+            eachItem(f.value, [&](std::string_view item) { named = named || sameName(item, option); });
+    }
+    return named;
+}
+
 Fields withoutHopByHop(const Fields& fields) {
     static constexpr std::array<std::string_view, 9> kHop = {
         "connection", "keep-alive", "proxy-connection",   "te",    "transfer-encoding",
--- a/src/proxy/head.h
+++ b/src/proxy/head.h
@@ -63,6 +63,8 @@
 
 [[nodiscard]] bool sameName(std::string_view a, std::string_view b);  // letters' case aside
 [[nodiscard]] const std::string* valueOf(const Fields& fields, std::string_view name);
+// Whether `Connection` names an option.
+[[nodiscard]] bool namesConnection(const Fields& fields, std::string_view option);
 // Fields that end here: those of one connection, and those that `Connection` names.
 [[nodiscard]] Fields withoutHopByHop(const Fields& fields);
 // One field line, CRLF aside. Nothing if it is none.
--- a/src/proxy/planner_side.cpp
+++ b/src/proxy/planner_side.cpp
@@ -35,9 +35,10 @@
     Orders out;
     out.shut = tables.shutOut();
     for (const std::string& name : classes) {
+        if (!tables.isBound(relay, name)) continue;
+        ClassOrder& order = out.byClass[name];  // without a line, if its table has been emptied
         const auto* table = tables.tableOf(relay, name);
         if (table == nullptr) continue;
-        ClassOrder& order = out.byClass[name];
         order.lines = table->lines;
         const auto level = table->levels.find(name);
         if (level == table->levels.end()) continue;
@@ -78,7 +79,7 @@
     : loop_(loop),
       gateway_(gateway),
       settings_(std::move(settings)),
-      log_(std::move(log)),
+      standing_(gateway, std::move(log)),
       gathering_(loop, [this] { gather(); }) {
     const auto channel = channelOf(settings_);
     const std::vector<std::string> classes = gateway_.steering().classes();
@@ -103,13 +104,13 @@
         });
     };
     handlers.welcomed = [this, post](bool kept) {
-        post([this, kept] { standing(true, kept ? "what is held stands" : "new tables follow"); });
+        post([this, kept] { standing_(true, kept ? "what is held stands" : "new tables follow"); });
     };
     handlers.released = [this, post](std::uint32_t, const std::string& why) {
-        post([this, why] { standing(false, "released: " + why); });
+        post([this, why] { standing_(false, "released: " + why); });
     };
     handlers.ended = [this, post](const ::grpc::Status& status) {
-        post([this, why = status.error_message()] { standing(false, why); });
+        post([this, why = status.error_message()] { standing_(false, why); });
     };
     assignments_ = std::make_unique<client::Assignments>(channel, std::move(options), std::move(handlers));
     assignments_->join({settings_.relay, settings_.zone, settings_.usualRate, true});
@@ -145,22 +146,11 @@
     assignments_->answer({settings_.relay}, *mark, took);
 }
 
-void PlannerSide::standing(bool there, const std::string& why) {
-    const Standing before = gateway_.steering().standing();
-    gateway_.steering().planner(there, Gateway::now());
-    const Standing after = gateway_.steering().standing();
-    if (there) log_("planner", "a planner has this proxy: " + why);
-    if (!there && before != after)
-        log_("planner", std::string(name(after)) + ", the last tables hold: " + why);
-    if (!there && before == after && why != lastWhy_) log_("planner", "there is none: " + why);
-    lastWhy_ = there ? "" : why;
-}
-
 void PlannerSide::gather() {
     const Count count = gateway_.takeCount();
     {
         const std::lock_guard lock(mutex_);
-        merge(gathered_, count);
+        mergeRecent(gathered_, count);
     }
     gathering_.after(kGatherEvery);
 }
--- a/src/proxy/planner_side.h
+++ b/src/proxy/planner_side.h
@@ -9,8 +9,8 @@
 
 #include "marldale/assignments.h"
 #include "marldale/load_reports.h"
+#include "proxy/planners.h"
 #include "proxy/settings.h"
-#include "routing/logger.h"
 
 namespace marldale::proxy {
 
@@ -21,26 +21,24 @@
 [[nodiscard]] v1::ReportBatch reportOf(const Count& count, const PlannerSettings& settings,
                                        const std::vector<std::string>& classes);
 
-class PlannerSide {
+class PlannerSide final : public Planners {
 public:
     // `changed`: the standing or the tables have; in the loop's thread. Throws std::runtime_error if a file
     // of the settings can't be read.
     PlannerSide(transport::Loop& loop, Gateway& gateway, PlannerSettings settings, routing::Logger log);
-    ~PlannerSide();
-    void bye();
+    ~PlannerSide() override;
+    void bye() override;
 
 private:
     void inForce(const Orders& orders, std::optional<std::uint32_t> mark,
                  std::chrono::steady_clock::time_point came);
-    void standing(bool there, const std::string& why);
     void gather();
 
     transport::Loop& loop_;
     Gateway& gateway_;
     const PlannerSettings settings_;
-    const routing::Logger log_;
+    StandingTeller standing_;
     transport::Timer gathering_;
-    std::string lastWhy_;
     std::mutex mutex_;
     Count gathered_;                                              // under the mutex
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // of the loop's thread
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -22,6 +22,13 @@
     return all.emplace_back(std::move(out));
 }
 
+PlatformPlanner& platformNamed(ProxySettings& s, const std::string& name) {
+    auto& all = s.planner.platform;
+    const auto at =
+        std::find_if(all.begin(), all.end(), [&](const PlatformPlanner& p) { return p.name == name; });
+    return at != all.end() ? *at : all.emplace_back(PlatformPlanner{name, "", ""});
+}
+
 class Keys {
 public:
     Keys(settings::Schema& schema, ProxySettings& s) : schema_(schema), s_(s) {}
@@ -65,6 +72,9 @@
         });
         add("method", Type::text, "its method; absent: any",
             [](RequestClass& k, const Value& v) { k.method = v.text; });
+        add("upgrade", Type::text,
+            "a protocol that its connections may change to, as websocket; absent: upgrades end at the proxy",
+            [](RequestClass& k, const Value& v) { k.upgrade = v.text; });
         add("fragile", Type::flag, "whether it must not run twice",
             [](RequestClass& k, const Value& v) { k.fragile = v.flag; });
         schema_.key("class *", "give_up_ms", Type::whole)
@@ -114,6 +124,12 @@
     keys.seconds("proxy", "idle_s", 3600, s.gateway.idleFor,
                  "a client's connection waits for its next request");
     keys.seconds("proxy", "stall_s", 600, s.gateway.stallFor, "an answer may stand still, whoever is slow");
+    keys.seconds("proxy", "upgraded_idle_s", 86400, s.gateway.upgradedIdleFor,
+                 "a connection that has changed its protocol may stand still");
+    schema.key("proxy", "half_close", Type::flag)
+        .otherwise("false")
+        .means("a client that says no more still gets its answer; false: it counts as gone")
+        .to([&s](const std::string&, const Value& v) { s.gateway.halfClose = v.flag; });
     keys.seconds("proxy", "drain_s", 600, s.gateway.drainFor, "requests under way have at SIGTERM");
     keys.whole("boxes", "connections_most", "", 1, 100000, s.gateway.pool.perBox, "to each box");
     keys.whole("boxes", "idle_most", "", 0, 10000, s.gateway.pool.idlePerBox, "kept for each box");
@@ -125,6 +141,38 @@
         .to([&s](const std::string&, const Value& v) {
             s.gateway.pool.connectWithin = transport::Millis{v.whole()};
         });
+    keys.text("boxes", "authority", Type::file, s.boxTls.authority,
+              "PEM: who vouches for boxes; with it the proxy speaks TLS to them");
+    keys.text("boxes", "certificate", Type::file, s.boxTls.certificate, "PEM: shown to boxes");
+    keys.text("boxes", "key", Type::file, s.boxTls.key, "PEM: of that certificate");
+    keys.text("boxes", "tls_name", Type::text, s.gateway.boxTls.name,
+              "the name in their certificates; absent: the address that is dialled");
+    keys.text("tls", "certificate", Type::file, s.clientTls.certificate,
+              "PEM: shown to clients; with it the proxy listens for TLS only");
+    keys.text("tls", "key", Type::file, s.clientTls.key, "PEM: of that certificate");
+    keys.text("tls", "authority", Type::file, s.clientTls.authority,
+              "PEM: who vouches for clients; absent: they prove nothing");
+    keys.text("tables", "file", Type::file, s.tablesFile,
+              "keeps the tables in force, for a start without a planner; absent: none");
+    keys.seconds("tables", "every_s", 3600, s.tablesEvery, "between two writings, where tables have changed");
+    keys.seconds("tables", "most_s", 86400, s.tablesMost, "its age; an older one is not used");
+    const auto platform = [&](const char* name, std::string PlatformPlanner::*into, const char* help) {
+        schema.key("platform *", name, Type::address)
+            .means(help)
+            .to([&s, into](const std::string& planner, const Value& v) {
+                platformNamed(s, planner).*into = v.text;
+            });
+    };
+    platform("relay_listen", &PlatformPlanner::relayListen,
+             "where this planner finds the proxy as its relay; one address for each planner");
+    platform("planner", &PlatformPlanner::planner, "where this planner takes reports");
+    schema.key("planners", "report_ms", Type::whole)
+        .range("ms", 50, 30000)
+        .otherwise("1000")
+        .means("between two reports over the platform's protocol; over gRPC the planner says")
+        .to([&s](const std::string&, const Value& v) {
+            s.planner.reportEvery = transport::Millis{v.whole()};
+        });
     schema.key("planners", "addresses", Type::list)
         .means("of gRPC fronts; the first that answers has this proxy")
         .to([&s](const std::string&, const Value& v) {
@@ -147,6 +195,16 @@
         .otherwise("20")
         .means("further tries saved up")
         .to([&s](const std::string&, const Value& v) { s.gateway.retriesMost = v.number; });
+    schema.key("retries", "class_ratio", Type::number)
+        .range("", 0, 10)
+        .otherwise("0.2")
+        .means("the same, of each class")
+        .to([&s](const std::string&, const Value& v) { s.gateway.classRetryRatio = v.number; });
+    schema.key("retries", "class_most", Type::number)
+        .range("", 0, 100000)
+        .otherwise("20")
+        .means("the same, of each class")
+        .to([&s](const std::string&, const Value& v) { s.gateway.classRetriesMost = v.number; });
     schema.key("box *", "address", Type::address)
         .means("of a box, by its uid")
         .to([&s](const std::string& uid, const Value& v) { s.boxes[uid] = v.text; });
@@ -163,12 +221,28 @@
     schema.take(file, settings::readIni(file, text, problems), problems);
     const auto missing = [&](const char* what) { problems.push_back({file, 0, what}); };
     if (out.gateway.classes.empty()) missing("there is no [class NAME]");
-    if (out.planner.planners.empty()) missing("[planners] addresses is missing");
+    const PlannerSettings& p = out.planner;
+    if (p.planners.empty() && p.platform.empty())
+        missing("there is neither [planners] addresses nor a [platform NAME]");
+    if (!p.planners.empty() && !p.platform.empty())
+        missing("[planners] addresses and [platform NAME] exclude each other: one protocol orders a proxy");
+    for (const PlatformPlanner& one : p.platform) {
+        if (one.relayListen.empty() || one.planner.empty())
+            problems.push_back({file, 0, "[platform " + one.name + "] needs relay_listen and planner"});
+    }
     if (out.planner.zone.empty()) missing("[proxy] zone is missing");
     if (out.discovery.empty() && out.boxes.empty())
         missing("there is neither [proxy] discovery nor a [box UID]");
-    if (out.planner.key.empty() != out.planner.certificate.empty())
-        missing("[planners] certificate and key go together");
+    if (p.key.empty() != p.certificate.empty()) missing("[planners] certificate and key go together");
+    if (out.boxTls.key.empty() != out.boxTls.certificate.empty())
+        missing("[boxes] certificate and key go together");
+    if (!out.boxTls.certificate.empty() && out.boxTls.authority.empty())
+        missing("[boxes] certificate needs authority: nothing is said to a box that nobody vouches for");
+    if (out.clientTls.key.empty() != out.clientTls.certificate.empty())
+        missing("[tls] certificate and key go together");
+    if (!out.clientTls.authority.empty() && out.clientTls.certificate.empty())
+        missing("[tls] authority needs certificate and key");
+    if (p.relay > 65534 || out.gateway.classes.size() > 16) missing("there can be 16 classes at most");
     return out;
 }
 
--- a/src/proxy/steering.cpp
+++ b/src/proxy/steering.cpp
@@ -19,6 +19,7 @@
 
 void Steering::obey(const Orders& orders, Micros) {
     shut_ = orders.shut;
+    ++changes_;
     for (std::size_t k = 0; k < classes_.size(); ++k) {
         const auto at = orders.byClass.find(classes_[k]);
         if (at == orders.byClass.end()) continue;
@@ -34,6 +35,12 @@
     there_ = there;
 }
 
+void Steering::recall(const Orders& orders, Micros now) {
+    if (obeyed_) return;
+    obey(orders, now);
+    if (obeyed_ && !there_) strandedSince_ = now;
+}
+
 void Steering::listed(const std::map<std::string, ListedBox>& boxes, bool whole) {
     if (whole) list_.clear();
     for (const auto& [uid, box] : boxes) list_[uid] = box;
--- a/src/proxy/steering.h
+++ b/src/proxy/steering.h
@@ -42,6 +42,8 @@
     // but for boxes that are shut out now.
     void obey(const Orders& orders, Micros now);
     void planner(bool there, Micros now);
+    // Tables of an earlier run, where none have come yet: it counts as stranded with them.
+    void recall(const Orders& orders, Micros now);
     // The list: a change, or all of it. It alone says where a box is; nothing is sent to one that it does not
     // call ready.
     void listed(const std::map<std::string, ListedBox>& boxes, bool whole);
@@ -64,6 +66,7 @@
     [[nodiscard]] const std::vector<std::string>& classes() const { return classes_; }
     // For a snapshot: what is in force.
     [[nodiscard]] Orders inForce() const;
+    [[nodiscard]] std::uint64_t changes() const { return changes_; }  // of what is in force, since the start
 
 private:
     struct Class {
@@ -77,6 +80,7 @@
     std::map<std::string, ListedBox> list_;
     bool obeyed_ = false, there_ = false;
     Micros strandedSince_ = -1;
+    std::uint64_t changes_ = 0;
 };
 
 }  // namespace marldale::proxy
--- a/src/proxy/stream.cpp
+++ b/src/proxy/stream.cpp
@@ -1,6 +1,7 @@
 #include "proxy/stream.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent_ssl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -11,8 +12,10 @@
 
 Stream::Stream(transport::Loop& loop) : loop_(loop), limit_(loop, [this] { onEvent(BEV_EVENT_TIMEOUT); }) {}
 
-Stream::Stream(transport::Loop& loop, const transport::Address& to, transport::Millis limit) : Stream(loop) {
-    adopt(-1);
+Stream::Stream(transport::Loop& loop, const transport::Address& to, transport::Millis limit,
+               tls::SslHandle tls)
+    : Stream(loop) {
+    adopt(-1, std::move(tls), true);
     dialling_ = true;
     limit_.after(limit);
     const sockaddr_in address = to.socketAddress();
@@ -21,16 +24,23 @@
         limit_.after(transport::Millis{0});  // told from the loop, for the owner is still making this
 }
 
-Stream::Stream(transport::Loop& loop, evutil_socket_t accepted) : Stream(loop) {
-    adopt(accepted);
+Stream::Stream(transport::Loop& loop, evutil_socket_t accepted, tls::SslHandle tls) : Stream(loop) {
+    adopt(accepted, std::move(tls), false);
     const int on = 1;
     setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
 Stream::~Stream() { close(); }
 
-void Stream::adopt(evutil_socket_t fd) {
-    stream_.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
+void Stream::adopt(evutil_socket_t fd, tls::SslHandle tls, bool dials) {
+    if (tls) {
+        // The handle is the connection's from here on, whatever comes of it.
+        stream_.reset(bufferevent_openssl_socket_new(
+            loop_.base(), fd, tls.release(), dials ? BUFFEREVENT_SSL_CONNECTING : BUFFEREVENT_SSL_ACCEPTING,
+            BEV_OPT_CLOSE_ON_FREE));
+    } else {
+        stream_.reset(bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
+    }
     if (!stream_) throw std::runtime_error("no connection can be made");
     open_ = true;
     bufferevent_setwatermark(stream_.get(), EV_READ, 0, kInputMost);
@@ -78,14 +88,18 @@
 void Stream::onWritten() {
     if (closing_) {
         if (pending() > 0) return;
-        // Nothing more goes; what still comes is read away, so that the last answer is not lost to a reset.
-        shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
-        return;
+        return sayNoMore();
     }
     const auto drained = handlers_.drained;
     if (open_ && drained) drained();
 }
 
+// Nothing more goes; what still comes is read away, so that the last answer is not lost to a reset.
+void Stream::sayNoMore() {
+    if (SSL* const ssl = bufferevent_openssl_get_ssl(stream_.get())) SSL_shutdown(ssl);
+    shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
+}
+
 void Stream::lingering() { take(available()); }
 
 void Stream::onEvent(short what) {
@@ -102,6 +116,10 @@
     }
     const bool dialling = dialling_;
     const Handlers handlers = handlers_;  // the owner may let this go
+    endedWhole_ = (what & BEV_EVENT_EOF) != 0;
+    const bool plain =
+        bufferevent_openssl_get_ssl(stream_.get()) == nullptr;  // libevent ends both ways of TLS
+    if (endedWhole_ && !dialling && plain && handlers.halfClosed && handlers.halfClosed()) return;
     open_ = false;
     limit_.cancel();
     if (handlers.ended) handlers.ended(dialling);
--- a/src/proxy/stream.h
+++ b/src/proxy/stream.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <event2/bufferevent.h>
+#include <openssl/ssl.h>
 
 #include <functional>
 #include <memory>
 #include <string_view>
 
+#include "tls/context.h"
 #include "transport/address.h"
 #include "transport/loop.h"
 
@@ -23,17 +25,25 @@
         std::function<void()> connected;
         std::function<void()> readable;  // there is more to take
         std::function<void()> drained;
+        // The other side says no more, and may still be written to. True: that is wanted, and `ended` comes
+        // when writing fails or `close` is called; absent or false: this is the end.
+        std::function<bool()> halfClosed;
         std::function<void(bool dialling)> ended;  // at most once; nothing is called after it
     };
-    // Dials: `connected` or `ended` follows within `limit`.
-    Stream(transport::Loop& loop, const transport::Address& to, transport::Millis limit);
-    Stream(transport::Loop& loop, evutil_socket_t accepted);
+    // Dials: `connected` or `ended` follows within `limit`. `tls`: null for plain TCP; `connected` comes
+    // after its handshake then, so that nothing is written to a box that is not the one that was meant.
+    Stream(transport::Loop& loop, const transport::Address& to, transport::Millis limit,
+           tls::SslHandle tls = {});
+    Stream(transport::Loop& loop, evutil_socket_t accepted, tls::SslHandle tls = {});
     ~Stream();
     Stream(const Stream&) = delete;
     Stream& operator=(const Stream&) = delete;
 
     void setHandlers(Handlers handlers) { handlers_ = std::move(handlers); }
     [[nodiscard]] bool open() const { return open_; }
+    // After the end: the other side had said all that it wanted to. A reset, a timeout, or TLS without its
+    // closing word is no such end: what came until then may be a part.
+    [[nodiscard]] bool endedWhole() const { return endedWhole_; }
     [[nodiscard]] bool lingers() const { return closing_; }  // its last bytes are still being written
 
     // What waits, in one piece: up to `most` bytes of it.
@@ -56,7 +66,8 @@
         void operator()(bufferevent* b) const { bufferevent_free(b); }
     };
     explicit Stream(transport::Loop& loop);
-    void adopt(evutil_socket_t fd);
+    void adopt(evutil_socket_t fd, tls::SslHandle tls, bool dials);
+    void sayNoMore();
     void onEvent(short what);
     void onWritten();
     void lingering();
@@ -65,7 +76,7 @@
     Handlers handlers_;
     transport::Timer limit_;
     std::unique_ptr<bufferevent, Free> stream_;
-    bool open_ = false, dialling_ = false, closing_ = false;
+    bool open_ = false, dialling_ = false, closing_ = false, endedWhole_ = false;
     std::uint64_t written_ = 0;
 };
 
--- a/src/proxy/tally.cpp
+++ b/src/proxy/tally.cpp
@@ -20,6 +20,11 @@
     }
 }
 
+void mergeRecent(Count& into, const Count& next, Micros most) {
+    if (into.over + next.over > most) into = {};
+    merge(into, next);
+}
+
 void Tally::age(Micros now) {
     if (now - since_ <= keptMost_) return;
     for (const auto& [box, count] : boxes_) dropped_ += count.tries;
--- a/src/proxy/tally.h
+++ b/src/proxy/tally.h
@@ -31,6 +31,10 @@
 // One span and the one after it, as one.
 void merge(Count& into, const Count& next);
 
+// The same, of what nobody takes for long: what would make it cover more than `most` is dropped first, for it
+// tells nothing of now, and a span that is cut short would make rates of it that never were.
+void mergeRecent(Count& into, const Count& next, Micros most = 30 * 1000000LL);
+
 class Tally {
 public:
     // `keptMost`: counts that nobody took for longer than this are dropped, for they tell nothing of now.
--- a/src/proxy_program/main.cpp
+++ b/src/proxy_program/main.cpp
@@ -7,6 +7,8 @@
 
 #include "bytes/mix.h"
 #include "proxy/planner_side.h"
+#include "proxy/platform_side.h"
+#include "proxy/table_snapshot.h"
 #include "routing/catalog_watch.h"
 
 namespace {
@@ -17,6 +19,7 @@
 using marldale::proxy::ProxySettings;
 using marldale::settings::Problem;
 
+constexpr marldale::transport::Millis kLastWords{100};  // to planners, on their way out
 constexpr int kTellAloneS = 10, kTellAgainS = 60;
 
 enum Status { kRight = 0, kFailed = 1, kMisunderstood = 2 };
@@ -59,16 +62,32 @@
     gateway.steered();
 }
 
+std::int64_t wallUs() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+// Null: plain TCP. Throws std::runtime_error if a file can't be used.
+std::shared_ptr<marldale::tls::Context> contextOf(marldale::tls::Side side,
+                                                  const marldale::tls::Files& files) {
+    return files.empty() ? nullptr : std::make_shared<marldale::tls::Context>(side, files);
+}
+
 class Program {
 public:
     explicit Program(ProxySettings settings)
         : settings_(std::move(settings)),
-          gateway_(loop_, *marldale::transport::parseAddress(settings_.listen), settings_.gateway,
+          clientTls_(contextOf(marldale::tls::Side::server, settings_.clientTls)),
+          boxTls_(contextOf(marldale::tls::Side::client, settings_.boxTls)),
+          gateway_(loop_, *marldale::transport::parseAddress(settings_.listen), gatewaySettings(),
                    seedOf(settings_)),
           term_(loop_, SIGTERM, [this] { end("SIGTERM"); }),
           interrupt_(loop_, SIGINT, [this] { end("SIGINT"); }),
-          hangup_(loop_, SIGHUP, [this] { tellFigures(); }),
-          telling_(loop_, [this] { tellStanding(); }) {}
+          hangup_(loop_, SIGHUP, [this] { hangup(); }),
+          telling_(loop_, [this] { tellStanding(); }),
+          keeping_(loop_, [this] { keepTables(); }),
+          leaving_(loop_, [this] { loop_.stop(); }) {}
 
     int run() {
         const auto log = [this](const char* topic, const std::string& text) { log_(topic, text); };
@@ -87,17 +106,72 @@
                 log);
             catalog_->fetchList();
         }
-        planners_ = std::make_unique<marldale::proxy::PlannerSide>(loop_, gateway_, settings_.planner, log);
+        recallTables();
+        if (settings_.planner.platform.empty())
+            planners_ =
+                std::make_unique<marldale::proxy::PlannerSide>(loop_, gateway_, settings_.planner, log);
+        else
+            planners_ =
+                std::make_unique<marldale::proxy::PlatformSide>(loop_, gateway_, settings_.planner, log);
         const auto host = marldale::transport::parseAddress(settings_.listen)->host;
         log_("phase", "serving on " + host + ":" + std::to_string(gateway_.port()));
         log_("tables", name(standing_));
         telling_.after(marldale::transport::Millis{1000});
         loop_.run();
+        keepTables();
+        writer_.reset();  // what waits is written
         log_("phase", "ended");
         return kRight;
     }
 
 private:
+    [[nodiscard]] marldale::proxy::GatewaySettings gatewaySettings() const {
+        auto out = settings_.gateway;
+        out.clientTls = clientTls_;
+        out.boxTls.context = boxTls_;
+        return out;
+    }
+    void hangup() {
+        for (const auto& context : {clientTls_, boxTls_}) {
+            if (!context) continue;
+            try {
+                context->reload();
+                log_("tls", "keys and certificates are read again; new connections have them");
+            } catch (const std::runtime_error& e) {
+                log_("tls", std::string(e.what()) + "; what was read before holds on");
+            }
+        }
+        tellFigures();
+    }
+    void recallTables() {
+        const std::string& file = settings_.tablesFile;
+        if (file.empty()) return;
+        std::string wrong;
+        const auto snapshot = marldale::proxy::readTables(file, wrong);
+        const auto orders = snapshot ? marldale::proxy::usable(*snapshot, settings_.planner.node, wallUs(),
+                                                               settings_.tablesMost, wrong)
+                                     : std::nullopt;
+        if (orders) {
+            gateway_.steering().recall(*orders, Gateway::now());
+            log_("tables", "recalled from " + file);
+        } else if (!wrong.empty()) {
+            log_("tables", file + " is not used: " + wrong);
+        }
+        kept_ = gateway_.steering().changes();
+        writer_ = std::make_unique<marldale::proxy::TableWriter>(file, [this](const std::string& why) {
+            loop_.post([this, why] { log_("tables", "the snapshot can't be written: " + why); });
+        });
+        keeping_.after(marldale::transport::Millis{settings_.tablesEvery / 1000});
+    }
+    void keepTables() {
+        if (!writer_) return;
+        const auto& steering = gateway_.steering();
+        if (steering.changes() != kept_) {
+            kept_ = steering.changes();
+            writer_->write(marldale::proxy::encode({steering.inForce(), settings_.planner.node, wallUs()}));
+        }
+        keeping_.after(marldale::transport::Millis{settings_.tablesEvery / 1000});
+    }
     void tellStanding() {
         const auto standing = gateway_.steering().standing();
         if (standing != standing_) log_("tables", name(standing));
@@ -125,18 +199,21 @@
         gateway_.drain([this] {
             planners_->bye();
             tellFigures();
-            loop_.post([this] { loop_.stop(); });
+            leaving_.after(kLastWords);
         });
     }
 
     const ProxySettings settings_;
     Log log_;
+    const std::shared_ptr<marldale::tls::Context> clientTls_, boxTls_;
     marldale::transport::Loop loop_;
     Gateway gateway_;
     std::unique_ptr<marldale::routing::CatalogWatch> catalog_;
-    std::unique_ptr<marldale::proxy::PlannerSide> planners_;
+    std::unique_ptr<marldale::proxy::Planners> planners_;
+    std::unique_ptr<marldale::proxy::TableWriter> writer_;
     marldale::transport::Signal term_, interrupt_, hangup_;
-    marldale::transport::Timer telling_;
+    marldale::transport::Timer telling_, keeping_, leaving_;
+    std::uint64_t kept_ = 0;  // changes of the tables that the snapshot has
     marldale::proxy::Standing standing_ = marldale::proxy::Standing::waiting;
     int aloneS_ = 0;  // seconds without a planner
     bool ending_ = false;
--- a/tests/grpc/peers_test.cpp
+++ b/tests/grpc/peers_test.cpp
@@ -1,7 +1,7 @@
 // Instances that talk over the gRPC front: askings, words, and peers that are slow, greedy, foreign or liars.
-#include "certificates.h"
 #include "forwarder.h"
 #include "parties.h"
+#include "support/certificates.h"
 
 namespace marldale::tests {
 namespace {
@@ -87,7 +87,7 @@
 
 TEST(GrpcPeers, ACopyOfManyPartsArrivesWhole) {
     std::string copy;
-    for (int i = 0; copy.size() < 3'000'000; ++i) copy += std::to_string(i * 7919);
+    for (unsigned i = 0; copy.size() < 3'000'000; ++i) copy += std::to_string(i * 7919);
     Instance donor("n1", copy), asker("n2");
     asker.link().ask(donor.place());
     const auto answer = asker.ear.answer(0);
--- a/tests/grpc/tls_test.cpp
+++ b/tests/grpc/tls_test.cpp
@@ -1,6 +1,6 @@
 // Certificates: who is let in, what for it may speak, and keys that are replaced while streams stand.
-#include "certificates.h"
 #include "parties.h"
+#include "support/certificates.h"
 
 namespace marldale::tests {
 namespace {
--- a/tests/proxy/core_test.cpp
+++ b/tests/proxy/core_test.cpp
@@ -357,9 +357,9 @@
                             for (const unsigned mode : {0U, 1U, 2U, 3U}) {
                                 for (const unsigned tries : {1U, 2U, 3U}) {
                                     const TryEnd end{came, written, came == Came::answer ? status : 0, says};
-                                    attempts::RetryBudget budget(1, 5);
+                                    RetryBudgets budgets({1, 5}, {1, 5}, 1);
                                     const Verdict v =
-                                        after(end, {fragile, kept, tries, kSecond}, mode, budget);
+                                        after(end, {0, fragile, kept, tries, kSecond}, mode, budgets);
                                     ++all;
                                     again += v.next == Next::again ? 1 : 0;
                                     if (v.next == Next::again) {
@@ -397,13 +397,30 @@
 }
 
 TEST(Attempts, TheBudgetAndTheTimeEndThem) {
-    attempts::RetryBudget none(0, 0);
+    RetryBudgets none({0, 0}, {1, 5}, 1);
     const TryEnd refused{Came::noConnection, 0, 0, false};
-    EXPECT_EQ(after(refused, {false, true, 1, kSecond}, 1, none),
+    EXPECT_EQ(after(refused, {0, false, true, 1, kSecond}, 1, none),
               (Verdict{Next::tell, 503, "the box can't be reached", 1}));
-    attempts::RetryBudget some(1, 5);
-    EXPECT_EQ(after(refused, {false, true, 1, 0}, 1, some).next, Next::tell);
-    EXPECT_EQ(after(refused, {false, true, 1, 1}, 1, some).next, Next::again);
+    RetryBudgets some({1, 5}, {1, 5}, 1);
+    EXPECT_EQ(after(refused, {0, false, true, 1, 0}, 1, some).next, Next::tell);
+    EXPECT_EQ(after(refused, {0, false, true, 1, 1}, 1, some).next, Next::again);
+}
+
+TEST(Attempts, OneClassCantSpendWhatAnotherHas) {
+    RetryBudgets budgets({0, 10}, {0, 2}, 2);
+    EXPECT_TRUE(budgets.take(0));
+    EXPECT_TRUE(budgets.take(0));
+    EXPECT_FALSE(budgets.take(0)) << "its own is spent";
+    EXPECT_TRUE(budgets.take(1));
+    RetryBudgets small({0, 1}, {0, 2}, 2);
+    EXPECT_TRUE(small.take(0));
+    EXPECT_FALSE(small.take(1)) << "that of all is spent";
+    RetryBudgets earned({0.5, 1}, {1, 1}, 1);
+    ASSERT_TRUE(earned.take(0));
+    earned.firstTry(0);
+    EXPECT_FALSE(earned.take(0)) << "half a try over all";
+    earned.firstTry(0);
+    EXPECT_TRUE(earned.take(0)) << "the class has lost nothing by the refusal";
 }
 
 // ---- Steering ----
--- a/tests/proxy/gateway_test.cpp
+++ b/tests/proxy/gateway_test.cpp
@@ -479,6 +479,121 @@
     while (!drained) usleep(1000);
 }
 
+TEST_F(GatewayTest, AnAnswerUpToTheEndWaitsForASlowClientAndIsWholeOnlyAfterAnOrderlyEnd) {
+    start();
+    const std::string large(2 << 20U, 'x');
+    ScriptedBox box([&](Wire& wire, int number) {
+        if (wire.head().empty()) return;
+        wire.say("HTTP/1.1 200 OK\r\n\r\n" + large);
+        if (number == 1) wire.reset();
+    });
+    steer({{"a", box.address()}});
+    const int small = 65536;
+    Wire slow = client();
+    setsockopt(slow.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    slow.say(get("/x"));
+    const std::string answer = slow.rest();  // read long after the box has ended
+    EXPECT_GT(answer.size(), large.size());
+    EXPECT_TRUE(answer.ends_with("\r\n0\r\n\r\n"));
+    EXPECT_FALSE(ask(get("/x")).ends_with("\r\n0\r\n\r\n")) << "reset by the box: a part";
+    EXPECT_EQ(figures().cutShort, 1U);
+}
+
+TEST_F(GatewayTest, AProtocolThatMayBeChangedToIsPassedBothWaysAndOthersEndHere) {
+    GatewaySettings settings = twoClasses();
+    settings.classes[1].upgrade = "websocket";
+    start(settings);
+    ScriptedBox box([](Wire& wire, int) {
+        const std::string head = wire.head();
+        if (head.find("Upgrade: websocket\r\nConnection: Upgrade\r\n") == std::string::npos) {
+            EXPECT_EQ(head.find("Upgrade"), std::string::npos) << "what is not passed on is not named";
+            return wire.say(ok("plain"));
+        }
+        wire.say("HTTP/1.1 101 Go\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nX-A: b\r\n\r\nfirst");
+        std::string all;
+        while (all.size() < 1000000) {
+            const std::string piece = wire.bytes(100000);
+            if (piece.empty()) return;
+            all += piece;
+        }
+        wire.say(all + "last");
+    });
+    steer({{"a", box.address()}});
+    const std::string asks = "Connection: Upgrade\r\nUpgrade: websocket\r\n";
+    Wire wire = client();
+    wire.say(get("/x", asks));
+    const std::string head = wire.head();
+    EXPECT_EQ(statusOf(head), 101);
+    EXPECT_NE(head.find("X-A: b\r\n"), std::string::npos);
+    EXPECT_EQ(wire.bytes(5), "first");
+    wire.say(std::string(1000000, 'z'));
+    const std::string back = wire.rest();
+    EXPECT_EQ(back.size(), 1000004U);
+    EXPECT_TRUE(back.ends_with("zlast"));
+    EXPECT_EQ(figures().upgraded, 1U);
+    for (const std::string& other :
+         {std::string("Connection: Upgrade\r\nUpgrade: h2c\r\n"), std::string("Upgrade: websocket\r\n"),
+          std::string("Connection: Upgrade\r\nUpgrade: websocket, h2c\r\n")}) {
+        Wire plain = client();
+        plain.say(get("/x", other));
+        EXPECT_EQ(statusOf(plain.head()), 200) << other;
+    }
+    Wire wrongClass = client();
+    wrongClass.say(get("/reserve", asks));
+    EXPECT_EQ(statusOf(wrongClass.head()), 200);
+    // The client goes: what it said last still reaches the box.
+    std::string heard;
+    std::atomic<bool> over = false;
+    ScriptedBox listening([&](Wire& w, int) {
+        (void)w.head();
+        w.say("HTTP/1.1 101 Go\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n");
+        heard = w.rest();
+        over = true;
+    });
+    steer({{"a", listening.address()}});
+    {
+        Wire going = client();
+        going.say(get("/x", asks));
+        EXPECT_EQ(statusOf(going.head()), 101);
+        going.say("the last words");
+    }
+    while (!over) usleep(1000);
+    EXPECT_EQ(heard, "the last words");
+}
+
+TEST_F(GatewayTest, AClientThatSaysNoMoreIsAnsweredOnlyWhereTheSettingsSaySo) {
+    for (const bool waits : {false, true}) {
+        loop_.run([&] { gateway_.reset(); });
+        GatewaySettings settings = twoClasses();
+        settings.halfClose = waits;
+        start(settings);
+        std::atomic<bool> there = false, go = false;
+        ScriptedBox box([&](Wire& wire, int) {
+            if (wire.head().empty()) return;
+            there = true;
+            while (!go) usleep(1000);
+            wire.say(ok("late"));
+        });
+        steer({{"a", box.address()}});
+        Wire wire = client();
+        wire.say(get("/x", ""));
+        while (!there) usleep(1000);
+        wire.sayNoMore();
+        if (!waits) {
+            EXPECT_EQ(wire.rest(), "");
+        }
+        go = true;
+        if (waits) {
+            EXPECT_TRUE(wire.rest().ends_with("late"));
+        }
+        EXPECT_EQ(figures().clientsGone, waits ? 0U : 1U);
+        Wire half = client();
+        half.say("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhal");
+        half.sayNoMore();
+        EXPECT_EQ(half.rest(), "") << "a request that will never be whole is none";
+    }
+}
+
 TEST_F(GatewayTest, WithoutTablesItSaysSoAtOnce) {
     start();
     const std::string answer = ask(get("/x"));
--- a/tests/proxy/scripted.h
+++ b/tests/proxy/scripted.h
@@ -39,6 +39,8 @@
     void close() {
         if (fd_ >= 0) ::close(std::exchange(fd_, -1));
     }
+    [[nodiscard]] int fd() const { return fd_; }
+    void sayNoMore() { shutdown(fd_, SHUT_WR); }
     void reset() {
         const linger hard{1, 0};
         setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
