One function says what may be tried again; budgets by client and box; fair room for bodies

Change: attempts::again, asked by the proxy; budgets over all, by class, client and box with a storm breaker that stops repeats before first tries; a quota of kept bodies, fair between clients, where the class of the least worth gives way first.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -6,8 +6,6 @@
 constexpr unsigned kSoonS = 1;  // Retry-After
 constexpr int kMisdirected = 421, kTooMany = 429, kUnavailable = 503;
 
-unsigned triesMost(unsigned mode) { return mode == 0 ? 1 : mode == 3 ? 3 : 2; }
-
 Verdict told(const TryEnd& end) {
     switch (end.came) {
         case Came::answer: return {Next::passOn, 0, "", 0};
@@ -21,19 +19,6 @@
 
 }  // namespace
 
-RetryBudgets::RetryBudgets(Size overAll, Size ofClass, std::size_t classes)
-    : overAll_(overAll.ratio, overAll.most),
-      byClass_(classes, attempts::RetryBudget(ofClass.ratio, ofClass.most)) {}
-
-void RetryBudgets::firstTry(std::size_t klass) {
-    overAll_.firstTry();
-    byClass_[klass].firstTry();
-}
-
-bool RetryBudgets::take(std::size_t klass) {
-    return overAll_.kept() >= 1 && byClass_[klass].take() && overAll_.take();
-}
-
 const char* name(Came came) {
     switch (came) {
         case Came::answer: return "answer";
@@ -54,16 +39,21 @@
 
 bool failed(const TryEnd& end) { return end.came != Came::answer || end.status >= 500; }
 
-Verdict after(const TryEnd& end, const Wish& wish, unsigned mode, RetryBudgets& budgets) {
-    const Verdict final = told(end);
-    const bool unrun = provenUnrun(end);
-    if (end.came == Came::answer && !unrun && end.status < 500) return final;
-    if (wish.tries >= triesMost(mode) || wish.timeLeft <= 0 || !wish.bodyKept) return final;
-    if (!unrun && (mode < 2 || wish.fragile)) return final;
-    if (!budgets.take(wish.klass)) return final;
-    return {Next::again, 0, "", 0};
+attempts::Why again(const TryEnd& end, const Wish& wish, unsigned mode) {
+    using attempts::Proof;
+    attempts::Question q;
+    q.proof = provenUnrun(end) ? Proof::notRun : end.came == Came::answer ? Proof::ran : Proof::unknown;
+    q.failed = failed(end) || q.proof == Proof::notRun;
+    q.repeat = wish.fragile ? Repeat::fragile : Repeat::retryable;
+    q.body = wish.bodyKept ? attempts::Body::arriving : attempts::Body::gone;
+    q.tries = wish.tries;
+    q.mode = mode;
+    q.timeLeft = wish.timeLeft;
+    return attempts::again(q);
 }
 
+Verdict finalOf(const TryEnd& end) { return told(end); }
+
 Verdict nothingToPick(bool hasTables) {
     return {Next::tell, 503, hasTables ? "no box may be sent to" : "there are no tables yet", kSoonS};
 }
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -9,9 +9,8 @@
 
 #include <cstdint>
 #include <string_view>
-#include <vector>
 
-#include "attempts/gate.h"
+#include "attempts/again.h"
 #include "policy/types.h"
 #include "proxy/head.h"
 
@@ -34,30 +33,13 @@
 [[nodiscard]] bool provenUnrun(const TryEnd& end);
 [[nodiscard]] bool failed(const TryEnd& end);  // for reports: no answer, or 5xx
 
-// Further tries that there are to spend: over all classes, and for each. One that is taken is taken from
-// both.
-class RetryBudgets {
-public:
-    struct Size {
-        double ratio = 0.2, most = 20;
-    };
-    RetryBudgets(Size overAll, Size ofClass, std::size_t classes);
-    void firstTry(std::size_t klass);
-    [[nodiscard]] bool take(std::size_t klass);
-
-private:
-    attempts::RetryBudget overAll_;
-    std::vector<attempts::RetryBudget> byClass_;
-};
-
 struct Wish {
-    std::size_t klass = 0;
     bool fragile = false;  // it must not run twice
     bool bodyKept = true;  // all of its body that was sent can be sent again
     unsigned tries = 1;    // made so far
     Micros timeLeft = 0;   // until its client gives up
 };
-enum class Next : std::uint8_t { passOn, again, tell };  // passOn: the box's answer as it is
+enum class Next : std::uint8_t { passOn, tell };  // passOn: the box's answer as it is
 struct Verdict {
     Next next = Next::passOn;
     int status = 0;  // to tell
@@ -66,8 +48,10 @@
     bool operator==(const Verdict&) const = default;
 };
 
-// After a try. `mode`: as ordered; `budgets`: one more is taken from them only if there is another try.
-[[nodiscard]] Verdict after(const TryEnd& end, const Wish& wish, unsigned mode, RetryBudgets& budgets);
+// After a try, as the one function says that all of us ask (attempts/again.h). `mode`: as ordered. Budgets
+// come after it, and what is final where they refuse is `finalOf`.
+[[nodiscard]] attempts::Why again(const TryEnd& end, const Wish& wish, unsigned mode);
+[[nodiscard]] Verdict finalOf(const TryEnd& end);
 // Before any: nothing to pick, or turned away by the level.
 [[nodiscard]] Verdict nothingToPick(bool hasTables);
 [[nodiscard]] Verdict turnedAway();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -1,5 +1,7 @@
 #include "proxy/gateway.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -36,6 +38,7 @@
 public:
     Client(Gateway& gateway, evutil_socket_t fd)
         : gateway_(gateway),
+          from_(peerOf(fd)),
           stream_(std::make_unique<Stream>(gateway.loop_, fd, tlsOf(gateway))),
           limit_(gateway.loop_, [this] { late(); }),
           tryLimit_(gateway.loop_, [this] { tryLate(); }) {
@@ -47,7 +50,10 @@
         stream_->setHandlers(std::move(handlers));
         waitForHead(gateway.settings_.headWithin);
     }
-    ~Client() { dropBox(); }
+    ~Client() {
+        releaseBody();
+        dropBox();
+    }
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
@@ -57,6 +63,12 @@
 private:
     enum class State : std::uint8_t { head, forward, changed, over };  // changed: another protocol
 
+    // Who it is, for budgets and room: its address, without the port.
+    static std::uint64_t peerOf(evutil_socket_t fd) {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        return getpeername(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0 ? at.sin_addr.s_addr : 0;
+    }
     static tls::SslHandle tlsOf(const Gateway& gateway) {
         return gateway.settings_.clientTls ? gateway.settings_.clientTls->connection("") : nullptr;
     }
@@ -106,18 +118,22 @@
         klass_ = classOf();
         const RequestClass& k = gateway_.settings_.classes[klass_];
         body_.emplace(head_.body);
-        kept_.clear();
+        releaseBody();
         keptWhole_ = true;
+        if (head_.body.framing != Framing::none) {
+            bodyId_ = ++gateway_.lastBody_;
+            gateway_.quota_.open(bodyId_, from_, k.worth);
+            gateway_.bodies_[bodyId_] = this;
+        }
         bodySent_ = head_.body.framing == Framing::none;
         answering_ = false;
         tried_.clear();
-        wish_ = {klass_, k.fragile, true, 0, k.giveUp};
+        wish_ = {k.fragile, true, 0, k.giveUp};
         upgrade_ = upgradeOf(head_, k.upgrade);
         until_ = now + k.giveUp;
         limit_.after(millis(k.giveUp));
         ++gateway_.figures_.requests;
         gateway_.tally_.came(klass_, now);
-        gateway_.budgets_.firstTry(klass_);
         if (!gateway_.steering_.admits(klass_, now)) {
             ++gateway_.figures_.levelRefused;
             const Verdict v = turnedAway();
@@ -157,9 +173,21 @@
 
     void keep(std::string_view piece) {
         if (!keptWhole_) return;
-        keptWhole_ = kept_.size() + piece.size() <= gateway_.settings_.bodyKept;
-        if (keptWhole_) kept_.append(piece);
-        if (!keptWhole_) std::string().swap(kept_);
+        const auto grant = gateway_.quota_.more(bodyId_, piece.size());
+        for (const attempts::BodyId id : grant.gaveWay) gateway_.gaveWay(id);
+        if (grant.granted) kept_.append(piece);
+        if (!grant.granted) bodyGone();
+    }
+    void bodyGone() {
+        keptWhole_ = false;
+        std::string().swap(kept_);
+    }
+    // No try will need it any more.
+    void releaseBody() {
+        std::string().swap(kept_);
+        if (bodyId_ == 0) return;
+        gateway_.quota_.release(bodyId_);
+        gateway_.bodies_.erase(std::exchange(bodyId_, 0));
     }
 
     void clientGone() {
@@ -181,9 +209,30 @@
             ++gateway_.figures_.unpicked;
             return finish(nothingToPick(gateway_.steering_.standing() != Standing::waiting));
         }
+        if (wish_.tries == 0)
+            gateway_.budgets_.firstTry(klass_, from_, std::hash<std::string>()(pick->box), Gateway::now());
         dial(pick->box, pick->endpoint, freshOnly);
     }
 
+    // Where it is tried again, if it is: the one function, then a box, then the budgets.
+    [[nodiscard]] std::optional<Steering::Pick> another(const TryEnd& end) {
+        tryLimit_.cancel();
+        const Micros now = Gateway::now();
+        gateway_.tally_.tried(boxName_, failed(end), now - tryBegan_, now);
+        wish_.timeLeft = until_ - now;
+        wish_.bodyKept = keptWhole_;
+        if (again(end, wish_, gateway_.steering_.retryMode(klass_)) != attempts::Why::again)
+            return std::nullopt;
+        auto pick = gateway_.steering_.pick(klass_, tried_);
+        if (!pick) return std::nullopt;
+        if (!gateway_.budgets_.take(klass_, from_, std::hash<std::string>()(pick->box), now)) {
+            ++gateway_.figures_.noBudget;
+            return std::nullopt;
+        }
+        ++gateway_.figures_.again;
+        return pick;
+    }
+
     void dial(const std::string& box, const std::string& endpoint, bool freshOnly) {
         boxName_ = box;
         endpoint_ = endpoint;
@@ -277,7 +326,9 @@
     // The box has taken the other protocol: from here on bytes are passed on unread, both ways, each side no
     // faster than the other reads.
     void change(const ResponseHead& head) {
-        (void)decide({Came::answer, sent(), head.status, false});
+        const Micros now = Gateway::now();
+        tryLimit_.cancel();
+        gateway_.tally_.tried(boxName_, false, now - tryBegan_, now);
         ++gateway_.figures_.upgraded;
         state_ = State::changed;
         stream_->write(switching(head, upgrade_));
@@ -300,12 +351,13 @@
 
     bool answered(ResponseHead head) {
         const TryEnd end{Came::answer, sent(), head.status, valueOf(head.fields, kNotRun) != nullptr};
-        const Verdict verdict = decide(end);
-        if (verdict.next == Next::again) {
+        if (const auto next = another(end)) {
             dropBox();
-            tryOne(false);
+            dial(next->box, next->endpoint, false);
             return false;
         }
+        releaseBody();  // it is final, whatever of it still arrives
+        keptWhole_ = false;
         answerHead_ = std::move(head);
         answerBody_.emplace(answerHead_->body);
         answering_ = true;
@@ -375,22 +427,11 @@
         if (box_ && !answering_) tryEnded({Came::timedOut, sent(), 0, false});
     }
 
-    [[nodiscard]] Verdict decide(const TryEnd& end) {
-        tryLimit_.cancel();
-        const Micros now = Gateway::now();
-        gateway_.tally_.tried(boxName_, failed(end), now - tryBegan_, now);
-        wish_.timeLeft = until_ - now;
-        wish_.bodyKept = keptWhole_;
-        const Verdict out = after(end, wish_, gateway_.steering_.retryMode(klass_), gateway_.budgets_);
-        if (out.next == Next::again) ++gateway_.figures_.again;
-        return out;
-    }
-
     void tryEnded(const TryEnd& end) {
-        const Verdict verdict = decide(end);
+        const auto next = another(end);
         dropBox();
-        if (verdict.next == Next::again) return tryOne(end.came == Came::broke);
-        finish(verdict);
+        if (next) return dial(next->box, next->endpoint, end.came == Came::broke);
+        finish(finalOf(end));
     }
 
     void finish(const Verdict& verdict) {
@@ -411,6 +452,8 @@
     // An answer of our own: the final one, at once.
     void tell(int status, std::string_view why, unsigned retryAfterS, bool keepAlive) {
         ++gateway_.figures_.told;
+        releaseBody();
+        keptWhole_ = false;
         dropBox();
         const bool whole = state_ == State::forward && body_ && body_->done();
         const bool stays = keepAlive && whole && !noMore_ && !gateway_.draining_;
@@ -445,6 +488,7 @@
     void leave() {
         if (state_ == State::over) return;
         state_ = State::over;
+        releaseBody();
         limit_.cancel();
         dropBox();
         stream_->closeAfterWriting(kLinger);
@@ -453,6 +497,8 @@
 
     friend class Gateway;
     Gateway& gateway_;
+    const std::uint64_t from_;
+    attempts::BodyId bodyId_ = 0;  // 0: nothing of one is counted
     std::unique_ptr<Stream> stream_;
     transport::Timer limit_, tryLimit_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
@@ -485,8 +531,8 @@
       steering_(namesOf(settings_.classes), seed),
       pool_(loop, settings_.pool, settings_.boxTls),
       tally_(settings_.classes.size(), now()),
-      budgets_({settings_.retryRatio, settings_.retriesMost},
-               {settings_.classRetryRatio, settings_.classRetriesMost}, settings_.classes.size()),
+      budgets_(settings_.retries, settings_.classes.size()),
+      quota_({settings_.bodiesKept, settings_.bodyKept}),
       sweeping_(loop, [this] { sweep(); }),
       drainLimit_(loop, [this] {
           while (!clients_.empty()) clients_.begin()->first->goAway();
@@ -527,6 +573,13 @@
     if (draining_ && clients_.empty() && drained_) std::exchange(drained_, nullptr)();
 }
 
+// Another body needed its room.
+void Gateway::gaveWay(attempts::BodyId id) {
+    ++figures_.bodiesGaveWay;
+    const auto at = bodies_.find(id);
+    if (at != bodies_.end()) at->second->bodyGone();
+}
+
 void Gateway::steered() {
     pool_.sweep(now(), [this](const std::string& box) { return steering_.maySendTo(box); });
 }
--- a/src/proxy/gateway.h
+++ b/src/proxy/gateway.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "attempts/gate.h"
+#include "attempts/body_quota.h"
+#include "attempts/retry_budgets.h"
 #include "proxy/attempt.h"
 #include "proxy/body.h"
 #include "proxy/box_pool.h"
@@ -22,6 +23,7 @@
 struct RequestClass {
     std::string name, method, prefix;  // method: empty for any
     bool fragile = false;              // it must not run twice
+    double worth = 1;                  // whose bodies give way first where room is short: the least
     Micros giveUp = 10 * 1000000LL;    // until the client is told that it takes too long
     Micros tryFor = 0;                 // of a try that another may follow; 0: as long as the request has
     std::string upgrade;               // a protocol that may be changed to; empty: none is passed on
@@ -36,18 +38,18 @@
     bool halfClose = false;  // a client that says no more still gets its answer; else it counts as gone
     std::size_t clientsMost = 10000;
     std::size_t bodyKept = 65536;  // bytes of a request's body that are kept for another try
+    std::size_t bodiesKept = std::size_t{32} << 20U;  // bytes, of all of them together
     Micros headWithin = 10 * 1000000LL, idleFor = 60 * 1000000LL, stallFor = 15 * 1000000LL;
     Micros drainFor = 10 * 1000000LL;
     Micros upgradedIdleFor = 600 * 1000000LL;  // a connection that changed its protocol stands still
-    // Further tries: for each first one, and saved up, over all classes and for each one.
-    double retryRatio = 0.2, retriesMost = 20, classRetryRatio = 0.2, classRetriesMost = 20;
+    attempts::RetryBudgets::Settings retries;
 };
 
 struct GatewayFigures {
     std::uint64_t accepted = 0, turnedAway = 0;  // clients
     std::uint64_t requests = 0, refusedHeads = 0, levelRefused = 0, unpicked = 0;
     std::uint64_t tries = 0, again = 0, passedOn = 0, told = 0, cutShort = 0, clientsGone = 0;
-    std::uint64_t upgraded = 0;
+    std::uint64_t upgraded = 0, bodiesGaveWay = 0, noBudget = 0;
 };
 
 class Gateway {
@@ -76,6 +78,7 @@
     friend class Client;
     void accepted(evutil_socket_t fd);
     void gone(Client* client);
+    void gaveWay(attempts::BodyId id);
     void sweep();
 
     transport::Loop& loop_;
@@ -83,7 +86,10 @@
     Steering steering_;
     BoxPool pool_;
     Tally tally_;
-    RetryBudgets budgets_;
+    attempts::RetryBudgets budgets_;
+    attempts::BodyQuota quota_;
+    attempts::BodyId lastBody_ = 0;
+    std::map<attempts::BodyId, Client*> bodies_;  // whose it is, while it is kept
     GatewayFigures figures_;
     std::map<Client*, std::unique_ptr<Client>> clients_;
     std::list<std::unique_ptr<Stream>> leaving_;  // clients' connections that linger
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -119,6 +119,8 @@
     keys.whole("proxy", "fields_most", "", 10, 1000, s.gateway.heads.fields, "of a head");
     keys.whole("proxy", "body_kept", "bytes", 0, 16777216, s.gateway.bodyKept,
                "of a request, for another try");
+    keys.whole("proxy", "bodies_kept", "bytes", 0, 17179869184.0, s.gateway.bodiesKept,
+               "of all requests together; fair between clients, and the least worth gives way first");
     keys.seconds("proxy", "head_within_s", 600, s.gateway.headWithin,
                  "a head comes, or the client is let go");
     keys.seconds("proxy", "idle_s", 3600, s.gateway.idleFor,
@@ -189,22 +191,41 @@
         .range("", 0, 10)
         .otherwise("0.2")
         .means("further tries for each first one, whatever is ordered")
-        .to([&s](const std::string&, const Value& v) { s.gateway.retryRatio = v.number; });
+        .to([&s](const std::string&, const Value& v) { s.gateway.retries.overAll.ratio = v.number; });
     schema.key("retries", "most", Type::number)
         .range("", 0, 100000)
         .otherwise("20")
         .means("further tries saved up")
-        .to([&s](const std::string&, const Value& v) { s.gateway.retriesMost = v.number; });
+        .to([&s](const std::string&, const Value& v) { s.gateway.retries.overAll.most = v.number; });
     schema.key("retries", "class_ratio", Type::number)
         .range("", 0, 10)
         .otherwise("0.2")
         .means("the same, of each class")
-        .to([&s](const std::string&, const Value& v) { s.gateway.classRetryRatio = v.number; });
+        .to([&s](const std::string&, const Value& v) { s.gateway.retries.ofClass.ratio = v.number; });
     schema.key("retries", "class_most", Type::number)
         .range("", 0, 100000)
         .otherwise("20")
         .means("the same, of each class")
-        .to([&s](const std::string&, const Value& v) { s.gateway.classRetriesMost = v.number; });
+        .to([&s](const std::string&, const Value& v) { s.gateway.retries.ofClass.most = v.number; });
+    const auto bucket = [&](const char* name, const char* standard, const char* help, double& into) {
+        schema.key("retries", name, Type::number)
+            .range("", 0, 100000)
+            .otherwise(standard)
+            .means(help)
+            .to([&into](const std::string&, const Value& v) { into = v.number; });
+    };
+    auto& retries = s.gateway.retries;
+    bucket("client_ratio", "1", "the same, of each client's address", retries.ofClient.ratio);
+    bucket("client_most", "10", "the same, of each client's address", retries.ofClient.most);
+    bucket("box_ratio", "0.5", "the same, of each box that they go to", retries.ofBox.ratio);
+    bucket("box_most", "20", "the same, of each box that they go to", retries.ofBox.most);
+    schema.key("retries", "storm_at", Type::number)
+        .range("", 0, 1)
+        .otherwise("0.5")
+        .means(
+            "share of repeats among what is asked for in a second, at which nothing is repeated until it is "
+            "half of that")
+        .to([&retries](const std::string&, const Value& v) { retries.stormAt = v.number; });
     schema.key("box *", "address", Type::address)
         .means("of a box, by its uid")
         .to([&s](const std::string& uid, const Value& v) { s.boxes[uid] = v.text; });
--- a/tests/proxy/core_test.cpp
+++ b/tests/proxy/core_test.cpp
@@ -357,18 +357,18 @@
                             for (const unsigned mode : {0U, 1U, 2U, 3U}) {
                                 for (const unsigned tries : {1U, 2U, 3U}) {
                                     const TryEnd end{came, written, came == Came::answer ? status : 0, says};
-                                    RetryBudgets budgets({1, 5}, {1, 5}, 1);
-                                    const Verdict v =
-                                        after(end, {0, fragile, kept, tries, kSecond}, mode, budgets);
+                                    const bool more = proxy::again(end, {fragile, kept, tries, kSecond},
+                                                                   mode) == attempts::Why::again;
                                     ++all;
-                                    again += v.next == Next::again ? 1 : 0;
-                                    if (v.next == Next::again) {
+                                    again += more ? 1 : 0;
+                                    if (more) {
                                         EXPECT_TRUE(kept) << "a body that is gone can't be sent again";
                                         EXPECT_GE(mode, 1U);
                                         EXPECT_LT(tries, mode == 3 ? 3U : 2U);
                                         EXPECT_TRUE(provenUnrun(end) || (!fragile && mode >= 2));
                                     }
-                                    if (v.next == Next::again) continue;
+                                    if (more) continue;
+                                    const Verdict v = finalOf(end);
                                     EXPECT_EQ(v.next == Next::passOn, came == Came::answer)
                                         << "a box's answer is the client's";
                                     EXPECT_TRUE(came == Came::answer || v.status >= 502);
@@ -396,31 +396,12 @@
     EXPECT_FALSE(provenUnrun({Came::answer, 80, 500, true}));
 }
 
-TEST(Attempts, TheBudgetAndTheTimeEndThem) {
-    RetryBudgets none({0, 0}, {1, 5}, 1);
+TEST(Attempts, TheTimeEndsThemAndWhatIsToldSaysWhatCame) {
     const TryEnd refused{Came::noConnection, 0, 0, false};
-    EXPECT_EQ(after(refused, {0, false, true, 1, kSecond}, 1, none),
-              (Verdict{Next::tell, 503, "the box can't be reached", 1}));
-    RetryBudgets some({1, 5}, {1, 5}, 1);
-    EXPECT_EQ(after(refused, {0, false, true, 1, 0}, 1, some).next, Next::tell);
-    EXPECT_EQ(after(refused, {0, false, true, 1, 1}, 1, some).next, Next::again);
-}
-
-TEST(Attempts, OneClassCantSpendWhatAnotherHas) {
-    RetryBudgets budgets({0, 10}, {0, 2}, 2);
-    EXPECT_TRUE(budgets.take(0));
-    EXPECT_TRUE(budgets.take(0));
-    EXPECT_FALSE(budgets.take(0)) << "its own is spent";
-    EXPECT_TRUE(budgets.take(1));
-    RetryBudgets small({0, 1}, {0, 2}, 2);
-    EXPECT_TRUE(small.take(0));
-    EXPECT_FALSE(small.take(1)) << "that of all is spent";
-    RetryBudgets earned({0.5, 1}, {1, 1}, 1);
-    ASSERT_TRUE(earned.take(0));
-    earned.firstTry(0);
-    EXPECT_FALSE(earned.take(0)) << "half a try over all";
-    earned.firstTry(0);
-    EXPECT_TRUE(earned.take(0)) << "the class has lost nothing by the refusal";
+    EXPECT_EQ(finalOf(refused), (Verdict{Next::tell, 503, "the box can't be reached", 1}));
+    EXPECT_EQ(again(refused, {false, true, 1, 0}, 1), attempts::Why::noTime);
+    EXPECT_EQ(again(refused, {false, true, 1, 1}, 1), attempts::Why::again);
+    EXPECT_EQ(again(refused, {false, false, 1, 1}, 1), attempts::Why::bodyGone);
 }
 
 // ---- Steering ----
--- a/tests/proxy/gateway_test.cpp
+++ b/tests/proxy/gateway_test.cpp
@@ -26,8 +26,7 @@
     rest.prefix = "/";
     out.classes = {reserve, rest};
     out.pool.idleFor = 200000;
-    out.retriesMost = 1000;
-    out.retryRatio = 1;
+    out.retries = {{1, 1000}, {1, 1000}, {1, 1000}, {1, 1000}, 1.1};
     return out;
 }
 
@@ -594,6 +593,38 @@
     }
 }
 
+TEST_F(GatewayTest, WhereRoomIsShortTheLeastWorthGivesWayAndIsNotTriedAgain) {
+    for (const bool isShort : {false, true}) {
+        loop_.run([&] { gateway_.reset(); });
+        GatewaySettings settings = twoClasses();
+        settings.classes[0].worth = 5;
+        settings.bodiesKept = isShort ? 100000 : 1000000;
+        start(settings);
+        std::atomic<int> there = 0;
+        std::atomic<bool> go = false;
+        ScriptedBox first([&](Wire& wire, int) {
+            if (wire.head().empty() || wire.bytes(60000).size() != 60000) return;
+            ++there;
+            while (!go) usleep(1000);
+        });  // it breaks off after all of the body
+        ScriptedBox second([](Wire& wire, int) {
+            if (!wire.head().empty() && wire.bytes(60000).size() == 60000) wire.say(ok("whole"));
+        });
+        steer({{"a", first.address()}, {"b", second.address()}}, 2);
+        const std::string post = " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 60000\r\n\r\n";
+        Wire cheap = client(), dear = client();
+        cheap.say("POST /x" + post + std::string(60000, 'x'));
+        while (there < 1) usleep(1000);
+        dear.say("POST /reserve" + post + std::string(60000, 'y'));
+        while (there < 2) usleep(1000);
+        go = true;
+        const std::string answer = cheap.rest();
+        EXPECT_EQ(statusOf(answer), isShort ? 502 : 200) << "a body that is gone can't be sent again";
+        EXPECT_EQ(statusOf(dear.rest()), 502) << "it may have run";
+        EXPECT_EQ(figures().bodiesGaveWay, isShort ? 1U : 0U);
+    }
+}
+
 TEST_F(GatewayTest, WithoutTablesItSaysSoAtOnce) {
     start();
     const std::string answer = ask(get("/x"));
