A relay's lines are counted as they change; a worker's end waits for the books

Cause: the bound on a relay's tables summed all of them for every order, and a worker that read nothing was ended within the call that spoke to it, in the middle of the hooks' books.

Change: the sum is kept; the end is posted to the loop.

--- a/clients/cpp/marldale/relay_tables.cpp
+++ b/clients/cpp/marldale/relay_tables.cpp
@@ -25,6 +25,7 @@
         // Numbers are void. What a relay uses it goes on using until it is bound anew, under numbers of no
         // order.
         tables_.clear();
+        lines_ = 0;
         lastTaken_ = 0;
         refused_ = false;
     }
@@ -89,12 +90,6 @@
     return sum;
 }
 
-std::size_t RelayTables::lines() const {
-    std::size_t out = 0;
-    for (const auto& [id, table] : tables_) out += table.lines.size();
-    return out;
-}
-
 std::string RelayTables::take(const v1::Order& order, Outcome& outcome) {
     switch (order.order_case()) {
         case v1::Order::kLine:
@@ -102,11 +97,13 @@
                 order.line().table() > kAllTables)
                 return "a line that can't be";
             if (order.line().weight() > 0 &&
-                lines() + (order.line().table() == kAllTables ? tables_.size() : 1) > linesMost_)
+                lines_ + (order.line().table() == kAllTables ? tables_.size() : 1) > linesMost_)
                 return "the tables have too many lines";
             each(order.line().table(), [&](std::uint32_t id, Table& t) {
+                lines_ -= t.lines.size();
                 if (order.line().weight() > 0) t.lines[order.line().server()] = order.line().weight();
                 if (order.line().weight() <= 0) t.lines.erase(order.line().server());
+                lines_ += t.lines.size();
                 concern(id, outcome);
             });
             return {};
@@ -114,9 +111,14 @@
             if (order.clear().table() == kAllTables) {
                 for (const auto& [id, t] : tables_) concern(id, outcome);
                 tables_.clear();
+                lines_ = 0;
             } else {
                 concern(order.clear().table(), outcome);
-                tables_.erase(order.clear().table());
+                const auto gone = tables_.find(order.clear().table());
+                if (gone != tables_.end()) {
+                    lines_ -= gone->second.lines.size();
+                    tables_.erase(gone);
+                }
             }
             return {};
         case v1::Order::kBind: {
@@ -161,9 +163,13 @@
         case v1::Order::kLay: {
             const auto like = tables_.find(order.lay().like());
             if (like == tables_.end()) return "there is no table " + std::to_string(order.lay().like());
-            if (order.lay().table() >= kAllTables || lines() + like->second.lines.size() > linesMost_)
+            if (order.lay().table() >= kAllTables || lines_ + like->second.lines.size() > linesMost_)
                 return "a table that can't be, or the tables have too many lines";
-            tables_[order.lay().table()] = Table(like->second);
+            const Table copy = like->second;
+            Table& laid = tables_[order.lay().table()];
+            lines_ += copy.lines.size();
+            lines_ -= laid.lines.size();
+            laid = copy;
             concern(order.lay().table(), outcome);
             return {};
         }
--- a/clients/cpp/marldale/relay_tables.h
+++ b/clients/cpp/marldale/relay_tables.h
@@ -66,10 +66,8 @@
     template <class Change>
     void each(std::uint32_t table, const Change& change);
 
-    [[nodiscard]] std::size_t lines() const;
-
     std::vector<std::string> classes_;
-    std::size_t linesMost_;
+    std::size_t linesMost_, lines_ = 0;  // of all tables
     std::map<std::uint32_t, Table> tables_;
     std::map<std::uint32_t, std::map<std::string, std::uint32_t>> bound_;  // table by relay and class
     std::set<std::uint32_t> joined_;
--- a/src/plugins/runner.cpp
+++ b/src/plugins/runner.cpp
@@ -113,7 +113,9 @@
     void say(const Json& words) {
         if (!connection_) return;
         const std::string text = words.dump(-1, ' ', false, Json::error_handler_t::replace);
-        if (!connection_->write(protocol::frame(text))) over("it reads nothing any more");
+        // Not within this call: whoever speaks may be in the middle of its books.
+        if (!connection_->write(protocol::frame(text)))
+            loop_.post([this] { over("it reads nothing any more"); });
     }
     [[nodiscard]] bool up() const { return connection_ != nullptr; }
     // It is ended now, for this reason.
