--- a/cmake/trace.cmake
+++ b/cmake/trace.cmake
@@ -5,12 +5,7 @@
 find_path(PCG_INCLUDE pcg_random.hpp REQUIRED)
 
 # What may be tried again and what never; no I/O.
-add_library(marldale_attempts STATIC
-  src/attempts/again.cpp src/attempts/body_quota.cpp src/attempts/chains.cpp src/attempts/effect_ledger.cpp
-  src/attempts/gate.cpp src/attempts/journal.cpp src/attempts/outcome.cpp src/attempts/retry_budgets.cpp
-  src/attempts/schedule.cpp)
-target_include_directories(marldale_attempts PUBLIC src)
-target_include_directories(marldale_attempts SYSTEM PRIVATE ${PCG_INCLUDE})
+include(cmake/attempts.cmake)
 
 add_library(marldale_trace_files STATIC src/trace/file.cpp src/trace/format.cpp)
 target_link_libraries(marldale_trace_files PUBLIC marldale_attempts PRIVATE nlohmann_json::nlohmann_json PkgConfig::ZSTD)
--- /dev/null
+++ b/src/gateway/ledger/replica.h
@@ -0,0 +1,107 @@
+// One member of the replicated log: election, append, commit, membership, snapshots, reads. After Raft (Ongaro,
+// Ousterhout: "In Search of an Understandable Consensus Algorithm", 2014; Ongaro's thesis: pre-vote, check
+// quorum, one member at a time). No I/O: time, messages and what the disk has done come in as values, and what
+// is to be done goes out as `Ready`.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "marldale/gateway/inside.pb.h"
+#include "policy/types.h"
+
+namespace marldale::ledger {
+
+namespace proto = gateway::proto;
+using Term = std::uint64_t;
+using Index = std::uint64_t;
+
+// What a disk keeps: all of it is back after a restart, or the machine comes back as a stranger.
+struct Stored {
+    proto::Member self;          // its number is drawn when the disk is first written
+    Term term = 0;
+    std::optional<proto::Member> voted;
+    proto::Snapshot snapshot;    // index 0: none; its members are those at that index
+    std::vector<proto::Entry> entries;  // after the snapshot, without gaps
+};
+
+struct Settings {
+    std::vector<std::string> seeds;  // addresses (inside) of the first voters; used only where `self.number` is 0
+    std::uint64_t seed = 1;          // of election times
+    std::size_t votersMost = 7;      // an odd number of voters is aimed at, up to this; the others learn
+    Micros heartbeat = 150000;
+    Micros electionLeast = 600000, electionMost = 1200000;
+};
+
+// One sync of the disk: all of it, or nothing. Writes are done in order; `Replica::persisted` tells the last done.
+struct Write {
+    std::uint64_t number = 0;
+    bool hard = false;  // term and vote are to be written
+    Term term = 0;
+    std::optional<proto::Member> voted;
+    std::optional<Index> cutFrom;         // drop stored entries from this index on, before appending
+    std::vector<proto::Entry> entries;    // to append
+    std::optional<proto::Snapshot> snapshot;  // replaces all up to its index (entries beyond it stay only where `cutFrom` says nothing)
+};
+
+struct ReadEnd {
+    std::uint64_t ticket = 0;
+    bool sure = false;  // what is applied up to `index` is the newest; otherwise this is no leader (any more)
+    Index index = 0;
+};
+
+// In this order: messages may go at once; writes are to be synced in order; what is committed is to be applied.
+// Whatever must be durable before it is said is held back inside until `persisted`.
+struct Ready {
+    std::vector<proto::LedgerMessage> messages;
+    std::vector<Write> writes;
+    std::optional<proto::Snapshot> install;  // the state machine begins anew from this, before `committed`
+    std::vector<proto::Entry> committed;
+    std::vector<ReadEnd> reads;
+};
+
+class Replica {
+public:
+    Replica(Settings settings, Stored stored, Micros now);
+    ~Replica();
+    Replica(const Replica&) = delete;
+    Replica& operator=(const Replica&) = delete;
+
+    // Everything below may leave something in `take`.
+    void tick(Micros now);
+    [[nodiscard]] Micros nextDue() const;  // when `tick` is to be called at the latest
+    void hear(Micros now, const proto::LedgerMessage& message);
+    void persisted(Micros now, std::uint64_t write);
+    // Nothing where this does not lead. That the entry is committed is told by `Ready::committed` with this index and
+    // the term of now; another term there means that it was lost.
+    [[nodiscard]] std::optional<Index> propose(Micros now, std::string data);
+    void read(Micros now, std::uint64_t ticket);          // its end comes in `Ready::reads`, within a few heartbeats
+    void compact(Micros now, Index through, std::string state);  // of the state machine after `through`
+    void handOver(Micros now);  // the lead goes to the voter that is furthest, where this leads
+    // A voter that shall leave for good (SIGTERM with removal is not told apart from a restart, so this is only for
+    // the operator and for machines that stay away): taken out by a change of the log.
+    void retire(Micros now, const proto::Member& member);
+    [[nodiscard]] Ready take();
+
+    [[nodiscard]] bool leads() const;
+    [[nodiscard]] std::optional<proto::Member> leader() const;  // as far as known, in this term
+    [[nodiscard]] Term term() const;
+    [[nodiscard]] Index committed() const;
+    [[nodiscard]] const proto::Members& members() const;
+    [[nodiscard]] const proto::Member& self() const;
+    [[nodiscard]] bool votes() const;  // this is a voter
+    // So long ago this was sure to hear of every change that is acknowledged (a leader: a majority confirmed it; others:
+    // the leader's last heartbeat, plus what it said of itself); -1: never yet.
+    [[nodiscard]] Micros sureAge(Micros now) const;
+    // Where a machine that is no voter sends JOIN when it knows no leader: any of these addresses.
+    void contacts(std::vector<std::string> addresses);
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+}  // namespace marldale::ledger
--- /dev/null
+++ b/src/gateway/program/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/gateway/program/version.cpp
@@ -0,0 +1,3 @@
+namespace marldale::gateway {
+const char* programName() { return "marldale"; }
+}  // namespace marldale::gateway
--- /dev/null
+++ b/tests/gateway/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
