--- /dev/null
+++ b/src/gateway/gauges/registry.cpp
@@ -0,0 +1,122 @@
+#include "gateway/gauges/registry.h"
+
+#include <algorithm>
+
+namespace marldale::gauges {
+namespace {
+
+constexpr Micros kColdStep = 300000;     // a cold time that differs by less is no change
+constexpr Micros kDeafAfter = 2500000;   // nobody heard for so long: the fault is ours
+constexpr Micros kOrderSlack = 100000;   // a beat this shortly after a zone was taken back may be from before
+
+}  // namespace
+
+Registry::News Registry::heard(Micros now, const proto::Server& said) {
+    if (said.id().empty()) return News::old;
+    const Micros at = now - std::max<Micros>(0, said.heard_ago());
+    const auto known = servers_.find(said.id());
+    if (gone_.count(said.id()) != 0) return News::old;
+    if (known == servers_.end()) {
+        if (said.gone()) {
+            gone_[said.id()] = now;
+            return News::urgent;
+        }
+        if (servers_.size() >= settings_.most) return News::old;
+    } else if (said.call_count() < known->second.said.call_count()) {
+        return News::old;
+    } else if (said.call_count() == known->second.said.call_count() && !said.gone()) {
+        const bool later = at > known->second.heardAt;
+        known->second.heardAt = std::max(known->second.heardAt, at);
+        return later ? News::same : News::old;
+    }
+    lastHeard_ = std::max(lastHeard_, at);
+    if (said.gone()) {
+        byAddress_.erase(known->second.said.address());
+        servers_.erase(known);
+        gone_[said.id()] = now;
+        ++changes_;
+        return News::urgent;
+    }
+    // A new life at an address voids the old one.
+    News out = News::same;
+    if (known == servers_.end()) {
+        const auto before = byAddress_.find(said.address());
+        if (before != byAddress_.end()) {
+            gone_[before->second] = now;
+            servers_.erase(before->second);
+        }
+        byAddress_[said.address()] = said.id();
+        out = News::changed;
+    }
+    Server& server = servers_[said.id()];
+    const bool emptied = said.emptying() && !server.said.emptying();
+    const Micros cold = said.cold_left() > 0 ? at + said.cold_left() : 0;
+    const bool wasCold = server.coldUntil > now || server.coldByOrder;
+    if (server.coldByOrder && at > server.orderAt + kOrderSlack) server.coldByOrder = false;
+    if (!server.coldByOrder || cold > server.coldUntil) {
+        if (std::abs(cold - server.coldUntil) > kColdStep && (cold > now || wasCold)) out = News::changed;
+        server.coldUntil = cold;
+    }
+    if (server.said.service() != said.service() || server.said.zone() != said.zone() || server.said.free_places() != said.free_places() ||
+        server.said.address() != said.address()) {
+        out = News::changed;
+    }
+    if (server.firstAt == 0) server.firstAt = now - std::max<Micros>(0, said.age());
+    server.said = said;
+    server.heardAt = std::max(server.heardAt, at);
+    if (emptied) out = News::urgent;
+    if (out != News::same) ++changes_;
+    return out;
+}
+
+void Registry::alive(Micros now, const std::string& id) {
+    if (const auto at = servers_.find(id); at != servers_.end()) at->second.aliveAt = now;
+}
+
+bool Registry::voided(Micros now, const std::string& id) {
+    const auto at = servers_.find(id);
+    if (at == servers_.end()) return false;
+    byAddress_.erase(at->second.said.address());
+    servers_.erase(at);
+    gone_[id] = now;
+    ++changes_;
+    return true;
+}
+
+void Registry::chilled(Micros now, const std::string& zone, const std::map<std::string, Micros>& warmUp) {
+    for (auto& [id, server] : servers_) {
+        if (server.said.zone() != zone) continue;
+        const auto warm = warmUp.find(server.said.service());
+        server.coldByOrder = true;
+        server.orderAt = now;
+        server.coldUntil = std::max(server.coldUntil, now + (warm == warmUp.end() ? 0 : warm->second));
+        ++changes_;
+    }
+}
+
+bool Registry::tick(Micros now) {
+    std::erase_if(gone_, [&](const auto& at) { return now - at.second > settings_.goneKept; });
+    if (now - lastHeard_ > kDeafAfter) return false;
+    const auto silent = static_cast<Micros>(settings_.missed * static_cast<double>(settings_.beatEvery));
+    const std::size_t before = servers_.size();
+    std::erase_if(servers_, [&](const auto& at) {
+        const Server& server = at.second;
+        if (now - server.heardAt <= silent || now - server.aliveAt <= settings_.aliveFor) return false;
+        byAddress_.erase(server.said.address());
+        return true;  // not remembered as gone: a beat brings it back
+    });
+    if (servers_.size() != before) ++changes_;
+    return servers_.size() != before;
+}
+
+Micros Registry::coldLeft(const Server& server, Micros now) const { return std::max<Micros>(0, server.coldUntil - now); }
+
+proto::Server Registry::wordOf(const Server& server, Micros now) const {
+    proto::Server out = server.said;
+    out.set_heard_ago(now - server.heardAt);
+    out.set_age(now - server.firstAt);
+    out.set_cold_left(coldLeft(server, server.heardAt));
+    return out;
+}
+
+}  // namespace marldale::gauges
--- /dev/null
+++ b/src/gateway/headworks/disk_writer.cpp
@@ -0,0 +1,57 @@
+#include "gateway/headworks/disk_writer.h"
+
+#include <chrono>
+
+namespace marldale::headworks {
+namespace {
+
+constexpr auto kAgainAfter = std::chrono::milliseconds(150);
+
+}  // namespace
+
+DiskWriter::DiskWriter(boost::asio::io_context& io, std::unique_ptr<ledger::Store> store, std::function<void(std::uint64_t)> done,
+                       std::function<void(std::string)> failed)
+    : io_(io), store_(std::move(store)), done_(std::move(done)), failed_(std::move(failed)), thread_([this] { run(); }) {}
+
+DiskWriter::~DiskWriter() {
+    {
+        const std::lock_guard lock(mutex_);
+        ending_ = true;
+    }
+    changed_.notify_one();
+    thread_.join();
+}
+
+void DiskWriter::write(ledger::Write write) {
+    {
+        const std::lock_guard lock(mutex_);
+        queue_.push_back(std::move(write));
+    }
+    changed_.notify_one();
+}
+
+void DiskWriter::run() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+        changed_.wait(lock, [this] { return ending_ || !queue_.empty(); });
+        if (queue_.empty()) return;
+        const ledger::Write next = std::move(queue_.front());
+        queue_.pop_front();
+        bool told = false;
+        while (true) {
+            lock.unlock();
+            const absl::Status status = store_->write(next);
+            lock.lock();
+            if (status.ok()) break;
+            if (!told) {
+                told = true;
+                boost::asio::post(io_, [this, text = std::string(status.message())] { failed_(text); });
+            }
+            changed_.wait_for(lock, kAgainAfter, [this] { return ending_; });
+            if (ending_) return;
+        }
+        boost::asio::post(io_, [this, number = next.number] { done_(number); });
+    }
+}
+
+}  // namespace marldale::headworks
--- /dev/null
+++ b/src/gateway/headworks/disk_writer.h
@@ -0,0 +1,43 @@
+// The thread that waits for the disk, so that the loop never does. A write that fails (a full disk) is tried again until it
+// succeeds; those behind it wait.
+#pragma once
+
+#include <utility>  // Boost 1.74 forgets it
+
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "gateway/ledger/store.h"
+
+namespace marldale::headworks {
+
+class DiskWriter {
+public:
+    // `done` is called on the loop with the number of each write that is durable; `failed` with a write's first error.
+    DiskWriter(boost::asio::io_context& io, std::unique_ptr<ledger::Store> store, std::function<void(std::uint64_t)> done,
+               std::function<void(std::string)> failed);
+    ~DiskWriter();
+    DiskWriter(const DiskWriter&) = delete;
+    DiskWriter& operator=(const DiskWriter&) = delete;
+    void write(ledger::Write write);
+
+private:
+    void run();
+
+    boost::asio::io_context& io_;
+    std::unique_ptr<ledger::Store> store_;
+    std::function<void(std::uint64_t)> done_;
+    std::function<void(std::string)> failed_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<ledger::Write> queue_;
+    bool ending_ = false;
+    std::thread thread_;
+};
+
+}  // namespace marldale::headworks
--- /dev/null
+++ b/src/gateway/headworks/headworks.cpp
@@ -0,0 +1,884 @@
+#include "gateway/headworks/headworks.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "gateway/headworks/parts.h"
+#include "gateway/log/log.h"
+
+namespace marldale::headworks {
+namespace {
+
+using boost::asio::ip::tcp;
+using links::Link;
+using links::steadyNow;
+
+constexpr Micros kWordEvery = 300000;        // to sluices and to other headworks
+constexpr Micros kNewsEvery = 300000;        // beats passed on, merged
+constexpr Micros kSweepEvery = 500000;
+constexpr Micros kDialWithin = 400000, kDialAgain = 250000;
+constexpr Micros kMarkTimeout = 500000;      // an unanswered mark holds later changes this long
+constexpr Micros kSureWithin = 1500000;      // an older view of the log hands out no copies
+constexpr Micros kChangeWithin = 2500000, kReadWithin = 900000, kLeaderWithin = 800000, kTellWithin = 700000;
+constexpr Micros kOthersKept = 5000000, kMostKept = 30000000;
+constexpr Micros kSilentLink = 1500000;
+constexpr std::uint64_t kSnapshotEvery = 64;  // changes
+constexpr double kUsualRate = 20;             // requests a second of a sluice of which nothing is known yet
+
+std::uint64_t hashOf(const google::protobuf::MessageLite& message, std::uint64_t seed = 0) {
+    const std::string text = message.SerializeAsString();
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed) | 1U;
+}
+std::uint64_t random64() {
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
+}
+std::vector<std::string> zoneNames(const settings::Settings& settings) {
+    std::vector<std::string> out;
+    for (const auto& [zone, region] : settings.zones) out.push_back(zone);
+    return out;
+}
+proto::Peer selfOf(const settings::Settings& settings, std::uint64_t life) {
+    proto::Peer out;
+    out.set_address(settings.inside());
+    out.set_control(settings.control);
+    out.set_zone(settings.zone);
+    out.set_life(life);
+    out.set_node(settings.node);
+    return out;
+}
+std::uint64_t markOfLines(std::uint64_t mark) { return mark * 2; }
+std::uint64_t markOfModules(std::uint64_t mark) { return mark * 2 + 1; }
+// The line that takes back what a key stands for.
+proto::Line dropOf(const std::string& key) {
+    proto::Line out;
+    switch (key[0]) {
+        case 'r': out.set_route_drop(key.substr(2)); break;
+        case 's': out.set_service_drop(key.substr(2)); break;
+        case 'v': out.set_server_drop(key.substr(2)); break;
+        case 'z': out.set_zone_filled(key.substr(2)); break;
+        default: break;
+    }
+    return out;
+}
+
+}  // namespace
+
+Headworks::Headworks(boost::asio::io_context& io, settings::Settings settings)
+    : io_(io),
+      settings_(std::move(settings)),
+      startedAt_(steadyNow()),
+      life_(random64()),
+      view_([&] { confluence::Settings s; s.seed = life_; return s; }(), selfOf(settings_, life_), settings_.insideSeeds()),
+      datagrams_(io, settings_.inside(), [this](const proto::Shuffle& shuffle) {
+          if (auto letter = view_.heard(shuffle)) datagrams_.send(letter->to, letter->shuffle);
+      }),
+      registry_([&] { gauges::Settings s; s.beatEvery = settings_.beatEvery; return s; }()),
+      steering_(zoneNames(settings_), settings_.zone, life_),
+      control_(io, settings_.control, [this](Request request, Answer answer) {
+          const Found found = findCall(request.method, request.target);
+          if (found.call == nullptr) return answer(problem(found.known ? 405 : 404, found.known ? "not by this method" : "no such call"));
+          request.argument = found.argument;
+          const std::string target = request.target;
+          found.call->handle(*this, request, [answer = std::move(answer), target](Reply reply) {
+              if (!reply.location.empty()) reply.location += target;
+              answer(std::move(reply));
+          });
+          work();
+      }),
+      inside_(io),
+      timer_(io) {}
+
+Headworks::~Headworks() = default;
+
+absl::Status Headworks::start() {
+    const bool seed = std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.control) != settings_.seeds.end();
+    auto store = ledger::Store::open(settings_.dataFolder.empty() ? "/tmp" : settings_.dataFolder, settings_.inside(), settings_.firstRun, seed);
+    if (!store.ok()) return store.status();
+    auto stored = (*store)->load();
+    if (!stored.ok()) return stored.status();
+    ledger::Settings rules;
+    rules.seeds = settings_.insideSeeds();
+    rules.seed = life_;
+    log::info("ledger_opened", {{"number", stored->self.number()}, {"term", stored->term}, {"entries", stored->entries.size()},
+                                {"snapshot", stored->snapshot.index()}, {"first_run", settings_.firstRun}});
+    replica_ = std::make_unique<ledger::Replica>(rules, std::move(*stored), steadyNow());
+    disk_ = std::make_unique<DiskWriter>(
+        io_, std::move(*store),
+        [this](std::uint64_t number) {
+            replica_->persisted(steadyNow(), number);
+            work();
+        },
+        [](const std::string& text) { log::warn("disk_refuses", {{"problem", text}}); });
+    if (auto s = datagrams_.open(); !s.ok()) return s;
+    const auto endpoint = links::endpointOf(settings_.inside());
+    boost::system::error_code wrong;
+    inside_.open(endpoint->protocol(), wrong);
+    if (!wrong) inside_.set_option(tcp::acceptor::reuse_address(true), wrong);
+    if (!wrong) inside_.bind(*endpoint, wrong);
+    if (!wrong) inside_.listen(512, wrong);
+    if (wrong) return absl::UnavailableError(absl::StrCat("inside: can't listen on ", settings_.inside(), ": ", wrong.message()));
+    acceptInside();
+    if (auto s = control_.listen(); !s.ok()) return s;
+    tick();
+    return absl::OkStatus();
+}
+
+void Headworks::reload(const settings::Settings& settings) {
+    settings_.seeds = settings.seeds;
+    view_.seeds(settings_.insideSeeds());
+    log::info("reloaded", {{"seeds", settings_.seeds.size()}});
+}
+
+void Headworks::apart(std::function<void()> step, Micros after) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::microseconds(after));
+    timer->async_wait([timer, step = std::move(step)](boost::system::error_code wrong) {
+        if (!wrong) step();
+    });
+}
+
+void Headworks::stop(std::function<void()> done) {
+    stopping_ = true;
+    replica_->handOver(steadyNow());
+    work();
+    apart([this] {
+        boost::system::error_code ignored;
+        inside_.close(ignored);
+        std::vector<aqueduct::SluiceId> all;
+        for (const auto& [id, sluice] : sluices_) all.push_back(id);
+        for (const aqueduct::SluiceId id : all) {
+            auto link = sluices_.at(id).link;
+            letGo(id);
+            open_.erase(link.get());
+            link->close();
+        }
+    }, 200000);
+    apart([this] { control_.close(); }, 300000);
+    apart(std::move(done), 900000);
+}
+
+// ---- Links ----
+
+void Headworks::acceptInside() {
+    inside_.async_accept([this](boost::system::error_code wrong, tcp::socket socket) {
+        if (wrong == boost::asio::error::operation_aborted || !inside_.is_open()) return;
+        if (!wrong) arrived(std::move(socket));
+        acceptInside();
+    });
+}
+
+void Headworks::arrived(tcp::socket socket) {
+    auto link = std::make_shared<Link>(std::move(socket));
+    const Link* raw = link.get();
+    open_[raw] = link;
+    link->start({[this, raw](const proto::Frame& frame) {
+                     const auto at = open_.find(raw);
+                     if (at != open_.end()) heard(std::shared_ptr<Link>(at->second), frame);
+                 },
+                 [this, raw] { closed(raw); }});
+}
+
+void Headworks::closed(const Link* link) {
+    if (const auto at = sluiceOf_.find(link); at != sluiceOf_.end()) letGo(aqueduct::SluiceId(at->second));
+    names_.erase(link);
+    open_.erase(link);
+    for (auto& [address, peer] : peers_) {
+        if (peer.link.get() == link) {
+            peer.link.reset();
+            peer.nextDial = steadyNow() + kDialAgain;
+        }
+    }
+    arm();
+}
+
+void Headworks::letGo(aqueduct::SluiceId id) {
+    const auto at = sluices_.find(id);
+    if (at == sluices_.end()) return;
+    log::info("sluice_left", {{"sluice", at->second.peer.node()}});
+    sluiceOf_.erase(at->second.link.get());
+    sluices_.erase(at);
+    steering_.leave(id);
+}
+
+void Headworks::dialPeers(Micros now) {
+    std::set<std::string> wanted;
+    for (const proto::Peer& peer : view_.control()) wanted.insert(peer.address());
+    for (const std::string& seed : settings_.insideSeeds()) wanted.insert(seed);
+    for (const proto::Member& voter : replica_->members().voters()) wanted.insert(voter.address());
+    wanted.erase(settings_.inside());
+    std::vector<std::string> contacts(wanted.begin(), wanted.end());
+    if (contacts != contacts_) {
+        contacts_ = contacts;
+        replica_->contacts(contacts);
+    }
+    for (const std::string& address : wanted) peers_.try_emplace(address);
+    for (auto& [address, peer] : peers_) {
+        if (peer.link && now - peer.link->heardAt() > 4 * kSilentLink) {
+            // Its process may be frozen: what waits for it is worth nothing any more.
+            auto link = std::exchange(peer.link, nullptr);
+            names_.erase(link.get());
+            link->close();
+            peer.nextDial = now + kDialAgain;
+        }
+        if (peer.link || peer.dialing || now < peer.nextDial || !wanted.count(address)) continue;
+        peer.dialing = true;
+        links::dial(io_, address, kDialWithin, [this, address = address](std::shared_ptr<Link> link) {
+            PeerLink& peer = peers_[address];
+            peer.dialing = false;
+            peer.nextDial = steadyNow() + kDialAgain;
+            if (!link || stopping_) return;
+            const Link* raw = link.get();
+            peer.link = link;
+            link->start({[this, raw](const proto::Frame& frame) {
+                             for (auto& [name, p] : peers_) {
+                                 if (p.link.get() != raw) continue;
+                                 heard(std::shared_ptr<Link>(p.link), frame);
+                                 break;
+                             }
+                         },
+                         [this, raw] { closed(raw); }});
+            proto::Frame greeting;
+            *greeting.mutable_greeting() = selfOf(settings_, life_);
+            link->send(greeting);
+            std::vector<std::string> all;
+            for (const auto& [id, server] : registry_.servers()) all.push_back(id);
+            link->send(newsOf(all, true, steadyNow()));
+        });
+    }
+}
+
+void Headworks::tellPeers(const proto::Frame& frame) {
+    for (auto& [address, peer] : peers_) {
+        if (peer.link) peer.link->send(frame);
+    }
+}
+
+void Headworks::heard(const std::shared_ptr<Link>& link, const proto::Frame& frame) {
+    const Micros now = steadyNow();
+    switch (frame.what_case()) {
+        case proto::Frame::kGreeting:
+            names_[link.get()] = frame.greeting().address();
+            view_.met(frame.greeting());
+            dialPeers(now);
+            break;
+        case proto::Frame::kLedger: replica_->hear(now, frame.ledger()); break;
+        case proto::Frame::kNews: heardNews(link, frame.news()); break;
+        case proto::Frame::kNewsAnswer:
+            if (const auto at = telling_.find(frame.news_answer().number()); at != telling_.end()) {
+                Answer answer = std::move(at->second.answer);
+                telling_.erase(at);
+                answer({});
+            }
+            break;
+        case proto::Frame::kHello: heardHello(link, frame.hello()); break;
+        case proto::Frame::kWord: {
+            const auto name = names_.find(link.get());
+            if (name != names_.end()) sluicesAt_[name->second] = {now, frame.word().sluices()};
+            break;
+        }
+        case proto::Frame::kAnswer: {
+            const auto id = sluiceOf_.find(link.get());
+            if (id == sluiceOf_.end()) break;
+            Sluice& sluice = sluices_.at(id->second);
+            const std::uint64_t mark = frame.answer().mark();
+            if (mark % 2 == 1) {
+                steering_.answered(id->second, mark / 2, 0);
+            } else if (mark / 2 == sluice.mark) {
+                for (const auto& [key, hash] : sluice.pending) {
+                    if (hash == 0) {
+                        sluice.held.erase(key);
+                    } else {
+                        sluice.held[key] = hash;
+                    }
+                }
+                sluice.pending.clear();
+                sluice.mark = 0;
+                flushTo(id->second, sluice, now, false);
+            }
+            break;
+        }
+        case proto::Frame::kSums: {
+            const auto id = sluiceOf_.find(link.get());
+            if (id == sluiceOf_.end()) break;
+            for (const auto& sum : frame.sums().servers()) {
+                if (sum.tries() > sum.failed()) registry_.alive(now, sum.server());
+            }
+            for (const std::string& gone : frame.sums().voided()) {
+                if (registry_.voided(now, gone)) serversChanged(now);
+            }
+            steering_.sums(id->second, sluices_.at(id->second).peer.zone(), frame.sums());
+            break;
+        }
+        default: break;
+    }
+    work();
+}
+
+// ---- Servers ----
+
+proto::Frame Headworks::newsOf(const std::vector<std::string>& ids, bool all, Micros now) const {
+    proto::Frame out;
+    auto* news = out.mutable_news();
+    news->set_whole(all);
+    news->set_sender_whole(whole(now));
+    for (const std::string& id : ids) {
+        const auto at = registry_.servers().find(id);
+        if (at != registry_.servers().end()) *news->add_servers() = registry_.wordOf(at->second, now);
+    }
+    return out;
+}
+
+void Headworks::sendNews(Micros now) {
+    if (newsDue_.empty()) return;
+    const std::vector<std::string> ids(newsDue_.begin(), newsDue_.end());
+    newsDue_.clear();
+    tellPeers(newsOf(ids, false, now));
+}
+
+void Headworks::heardNews(const std::shared_ptr<Link>& link, const proto::ServerNews& news) {
+    const Micros now = steadyNow();
+    bool changed = false;
+    proto::Frame urgent;
+    for (const proto::Server& said : news.servers()) {
+        const auto what = registry_.heard(now, said);
+        changed = changed || what == gauges::Registry::News::changed || what == gauges::Registry::News::urgent;
+        // Passed on once: the one that heard it may be gone before it has told everyone.
+        if (what == gauges::Registry::News::urgent) *urgent.mutable_news()->add_servers() = said;
+    }
+    if (urgent.has_news()) tellPeers(urgent);
+    if (news.whole() && news.sender_whole()) gotWhole_ = true;
+    if (changed) serversChanged(now);
+    if (news.number() != 0) {
+        proto::Frame answer;
+        answer.mutable_news_answer()->set_number(news.number());
+        link->send(answer);
+    }
+}
+
+void Headworks::beat(proto::Server said, Answer answer) {
+    const Micros now = steadyNow();
+    const auto what = registry_.heard(now, said);
+    if (what != gauges::Registry::News::old) newsDue_.insert(said.id());
+    if (what == gauges::Registry::News::changed || what == gauges::Registry::News::urgent) serversChanged(now);
+    // What empties is acknowledged only once another headworks knows it: this one may be gone the next moment. A repeat asks again.
+    if (what != gauges::Registry::News::urgent && !said.emptying()) return answer({});
+    proto::Frame frame;
+    const auto at = registry_.servers().find(said.id());
+    *frame.mutable_news()->add_servers() = at == registry_.servers().end() ? said : registry_.wordOf(at->second, now);
+    frame.mutable_news()->set_number(++lastNews_);
+    bool told = false;
+    for (auto& [address, peer] : peers_) {
+        if (!peer.link) continue;
+        peer.link->send(frame);
+        told = true;
+    }
+    if (!told) return answer(problem(503, "no other headworks is in reach"));
+    telling_[lastNews_] = {std::move(answer), now + kTellWithin};
+    arm();
+}
+
+void Headworks::leave(const std::string& id, Answer answer) {
+    proto::Server said;
+    const auto at = registry_.servers().find(id);
+    if (at != registry_.servers().end()) said = at->second.said;
+    said.set_id(id);
+    said.set_gone(true);
+    said.set_call_count(said.call_count() + 1);
+    beat(std::move(said), std::move(answer));
+}
+
+void Headworks::serversChanged(Micros now) {
+    std::erase_if(wanted_, [&](const auto& at) { return at.first[0] == 'v' && !registry_.servers().count(at.first.substr(2)); });
+    std::map<std::string, const proto::ServiceLine*> services;
+    for (const proto::ServiceLine& service : plans_.configuration().services) services[service.name()] = &service;
+    std::vector<aqueduct::ServerSpec> specs;
+    for (const auto& [id, server] : registry_.servers()) {
+        const std::string key = "v " + id;
+        const auto service = services.find(server.said.service());
+        const Micros cold = registry_.coldLeft(server, now);
+        specs.push_back({id, server.said.service(), server.said.zone(), server.said.free_places(), server.said.emptying(), cold});
+        if (!server.usable() || service == services.end()) {
+            if (wanted_.erase(key) > 0) flushUrgent_ = true;
+            continue;
+        }
+        Wanted wanted;
+        auto* line = wanted.line.mutable_server();
+        line->set_id(id);
+        line->set_service(server.said.service());
+        line->set_address(server.said.address());
+        line->set_zone(server.said.zone());
+        const Parts parts = partsOf({sluicesMost_, server.said.free_places(), service->second->max_connections(), service->second->cold_per_s(),
+                                     settings_.bounds.coldExcess, settings_.bounds.coldMargin});
+        line->set_in_flight_most(parts.inFlight);
+        line->set_connections_most(parts.connections);
+        line->set_cold_most(parts.cold);
+        wanted.hash = hashOf(wanted.line, static_cast<std::uint64_t>(cold > 0 ? server.coldUntil / 100000 : 0));
+        wanted.urgent = cold > 0;
+        if (const auto before = wanted_.find(key); before != wanted_.end() && before->second.hash == wanted.hash) continue;
+        wanted_[key] = std::move(wanted);
+    }
+    steering_.servers(now, specs);
+    flushDue_ = true;
+}
+
+// ---- Plans ----
+
+void Headworks::plansChanged(Micros now) {
+    std::map<std::string, Wanted> next;
+    const auto put = [&](std::string key, proto::Line line) {
+        Wanted wanted;
+        wanted.hash = hashOf(line);
+        wanted.line = std::move(line);
+        next[std::move(key)] = std::move(wanted);
+    };
+    std::map<std::string, aqueduct::ServiceSpec> specs;
+    for (const proto::ServiceLine& service : plans_.configuration().services) {
+        proto::Line line;
+        *line.mutable_service() = service;
+        put("s " + service.name(), std::move(line));
+        auto& spec = specs[service.name()];
+        spec.name = service.name();
+        spec.warmUp = service.warm_up();
+        proto::Line budget;
+        const BudgetPart part = budgetOf(sluicesMost_, settings_.bounds.retryRatio, settings_.bounds.extraTries, settings_.bounds.retryWindow);
+        budget.mutable_budget()->set_service(service.name());
+        budget.mutable_budget()->set_per_request(part.perRequest);
+        budget.mutable_budget()->set_per_s(part.perS);
+        budget.mutable_budget()->set_burst(part.burst);
+        put("b " + service.name(), std::move(budget));
+    }
+    for (const proto::RouteLine& route : plans_.configuration().routes) {
+        for (const proto::Share& share : route.shares()) {
+            auto& spec = specs[share.service()];
+            const auto k = static_cast<std::size_t>(route.kind());
+            spec.aim[k] = spec.aim[k] == 0 ? route.target() : std::min(spec.aim[k], route.target());
+            spec.giveUp[k] = std::max(spec.giveUp[k], route.give_up());
+            spec.rank[k] = spec.rank[k] == 0 ? route.rank() : std::min(spec.rank[k], route.rank());
+        }
+        proto::Line line;
+        *line.mutable_route() = route;
+        put("r " + route.host_name() + " " + route.path_start(), std::move(line));
+    }
+    if (plans_.index() > 0) {
+        proto::Line limits;
+        *limits.mutable_limits() = plans_.configuration().limits;
+        put("l", std::move(limits));
+    }
+    for (const std::string& zone : plans_.emptied()) {
+        proto::Line line;
+        line.set_zone_empty(zone);
+        put("z " + zone, std::move(line));
+    }
+    for (auto& [key, wanted] : wanted_) {
+        if (key[0] == 'v') next[key] = std::move(wanted);
+    }
+    wanted_ = std::move(next);
+    std::vector<aqueduct::ServiceSpec> all;
+    for (auto& [name, spec] : specs) all.push_back(std::move(spec));
+    steering_.services(all);
+    serversChanged(now);
+}
+
+void Headworks::change(std::string change, Answer answer) {
+    order({std::move(change), std::move(answer), steadyNow() + kLeaderWithin}, steadyNow());
+}
+void Headworks::read(Answer answer) { order({{}, std::move(answer), steadyNow() + kLeaderWithin}, steadyNow()); }
+
+void Headworks::order(Held held, Micros now) {
+    if (replica_->leads()) {
+        if (held.change.empty()) {
+            reading_[++lastTicket_] = {std::move(held.answer), now + kReadWithin};
+            replica_->read(now, lastTicket_);
+            return;
+        }
+        if (const auto index = replica_->propose(now, std::move(held.change))) {
+            waiting_.emplace(*index, Waiting{replica_->term(), std::move(held.answer), now + kChangeWithin});
+            return;
+        }
+        return held.answer(problem(503, "the lead has just changed"));
+    }
+    const auto leader = replica_->leader();
+    if (leader && leader->address() != settings_.inside()) {
+        Reply reply = problem(307, "another one leads");
+        const std::string& address = leader->address();
+        reply.location = "http://" + address.substr(0, address.find(':')) + settings_.control.substr(settings_.control.rfind(':'));
+        return held.answer(std::move(reply));
+    }
+    if (now >= held.until) return held.answer(problem(503, "no leader is known"));
+    held_.push_back(std::move(held));
+}
+
+void Headworks::applied(const proto::Entry& entry) {
+    const Micros now = steadyNow();
+    plans::Verdict verdict = plans::Verdict::invalid;
+    if (entry.kind() == proto::Entry::CHANGE) {
+        const std::set<std::string> before = plans_.emptied();
+        verdict = plans_.apply(entry.index(), entry.data());
+        if (verdict == plans::Verdict::taken) {
+            std::map<std::string, Micros> warmUp;
+            for (const proto::ServiceLine& service : plans_.configuration().services) warmUp[service.name()] = service.warm_up();
+            for (const std::string& zone : before) {
+                if (!plans_.emptied().count(zone)) registry_.chilled(now, zone, warmUp);
+            }
+            plansChanged(now);
+            flushUrgent_ = true;
+            log::info("change_in_force", {{"index", entry.index()}, {"version", plans_.configuration().version}});
+        }
+        if (++sinceSnapshot_ >= kSnapshotEvery) {
+            sinceSnapshot_ = 0;
+            replica_->compact(now, entry.index(), plans_.snapshot());
+        }
+    }
+    const auto [from, to] = waiting_.equal_range(entry.index());
+    std::vector<Waiting> ends;
+    for (auto at = from; at != to; ++at) ends.push_back(std::move(at->second));
+    waiting_.erase(from, to);
+    for (Waiting& end : ends) {
+        if (end.term != entry.term()) {
+            end.answer(problem(503, "the lead has changed"));
+            continue;
+        }
+        switch (verdict) {
+            case plans::Verdict::taken:
+            case plans::Verdict::already: end.answer({}); break;
+            case plans::Verdict::stale: end.answer(problem(412, "another version is current")); break;
+            case plans::Verdict::invalid: end.answer(problem(400, "the version is not above the current one")); break;
+        }
+    }
+}
+
+void Headworks::work() {
+    if (working_ || !replica_) return;
+    working_ = true;
+    for (int round = 0; round < 64; ++round) {
+        ledger::Ready ready = replica_->take();
+        if (ready.messages.empty() && ready.writes.empty() && !ready.install && ready.committed.empty() && ready.reads.empty()) break;
+        for (ledger::Write& write : ready.writes) disk_->write(std::move(write));
+        for (proto::LedgerMessage& message : ready.messages) {
+            const auto peer = peers_.find(message.to().address());
+            if (peer == peers_.end() || !peer->second.link) continue;
+            proto::Frame frame;
+            *frame.mutable_ledger() = std::move(message);
+            peer->second.link->send(frame);
+        }
+        if (ready.install) {
+            if (auto s = plans_.restore(ready.install->data()); !s.ok()) {
+                log::warn("snapshot_refused", {{"problem", std::string(s.message())}});
+            } else {
+                plansChanged(steadyNow());
+            }
+        }
+        for (const proto::Entry& entry : ready.committed) applied(entry);
+        for (const ledger::ReadEnd& end : ready.reads) {
+            const auto at = reading_.find(end.ticket);
+            if (at == reading_.end()) continue;
+            Answer answer = std::move(at->second.answer);
+            reading_.erase(at);
+            if (!end.sure) {
+                answer(problem(503, "the lead has changed"));
+            } else if (plans_.json().empty()) {
+                answer(problem(404, "there is no configuration yet"));
+            } else {
+                answer({200, plans_.json(), {}});
+            }
+        }
+    }
+    const auto leader = replica_->leader();
+    const std::string name = leader ? leader->address() : "";
+    if (name != lastLeader_) {
+        lastLeader_ = name;
+        log::info("leader", {{"leader", name}, {"term", replica_->term()}, {"self", replica_->leads()}});
+    }
+    if (!held_.empty() && (leader || replica_->leads())) {
+        std::deque<Held> again;
+        again.swap(held_);
+        for (Held& held : again) order(std::move(held), steadyNow());
+    }
+    const Micros now = steadyNow();
+    if (flushDue_ || flushUrgent_) flush(now, flushUrgent_);
+    runModules(now);
+    working_ = false;
+    arm();
+}
+
+// ---- Distribution ----
+
+bool Headworks::whole(Micros now) const { return gotWhole_ || now - startedAt_ > settings_.beatEvery * 5 / 2; }
+
+void Headworks::heardHello(const std::shared_ptr<Link>& link, const proto::Hello& hello) {
+    const Micros now = steadyNow();
+    if (stopping_) return;
+    const aqueduct::SluiceId id = ++lastSluice_;
+    Sluice& sluice = sluices_[id];
+    sluice = {};
+    sluice.link = link;
+    sluice.peer = hello.self();
+    sluice.index = hello.index();
+    sluiceOf_[link.get()] = id;
+    view_.met(hello.self());
+    if (hello.sluices() > sluicesMost_) {
+        sluicesMost_ = hello.sluices();
+        sluicesMostAt_ = now;
+    }
+    log::info("sluice_came", {{"sluice", hello.self().node()}, {"index", hello.index()}});
+    countSluices(now);
+    flushTo(id, sluice, now, true);
+    steering_.join(id, hello.self().zone(), kUsualRate);
+    nextWord_ = now;
+}
+
+void Headworks::flush(Micros now, bool urgent) {
+    flushDue_ = flushUrgent_ = false;
+    for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, urgent);
+}
+
+void Headworks::flushTo(aqueduct::SluiceId /*id*/, Sluice& sluice, Micros now, bool urgent) {
+    if (plans_.index() == 0 || plans_.index() < sluice.index) return;  // it knows better
+    proto::Frame frame;
+    auto* orders = frame.mutable_orders();
+    const auto add = [&](const Wanted& wanted) {
+        proto::Line* line = orders->add_lines();
+        *line = wanted.line;
+        if (line->has_server()) {
+            const auto at = registry_.servers().find(line->server().id());
+            if (at != registry_.servers().end()) line->mutable_server()->set_cold_for(registry_.coldLeft(at->second, now));
+        }
+    };
+    if (!sluice.copied) {
+        const Micros sure = replica_->sureAge(now);
+        if (sure < 0 || sure > kSureWithin) return;
+        orders->set_fresh(true);
+        orders->set_servers_whole(whole(now));
+        for (const auto& [key, wanted] : wanted_) {
+            add(wanted);
+            sluice.pending[key] = wanted.hash;
+        }
+        sluice.held.clear();
+        sluice.copied = true;
+    } else {
+        if (sluice.mark != 0 && !urgent && now - sluice.markAt < kMarkTimeout) return;  // waits, and merges into the next difference
+        const auto holds = [&](const std::string& key) -> std::uint64_t {
+            const auto pending = sluice.pending.find(key);
+            if (pending != sluice.pending.end()) return pending->second;
+            const auto held = sluice.held.find(key);
+            return held == sluice.held.end() ? 0 : held->second;
+        };
+        for (const auto& [key, wanted] : wanted_) {
+            if (holds(key) == wanted.hash) continue;
+            add(wanted);
+            sluice.pending[key] = wanted.hash;
+        }
+        std::vector<std::string> dropped;
+        for (const auto& [key, hash] : sluice.held) {
+            if (!wanted_.count(key) && holds(key) != 0) dropped.push_back(key);
+        }
+        for (const auto& [key, hash] : sluice.pending) {
+            if (hash != 0 && !wanted_.count(key) && !sluice.held.count(key)) dropped.push_back(key);
+        }
+        for (const std::string& key : dropped) {
+            *orders->add_lines() = dropOf(key);
+            sluice.pending[key] = 0;
+        }
+        if (orders->lines_size() == 0 && sluice.index == plans_.index()) return;
+    }
+    sluice.index = plans_.index();
+    sluice.mark = ++lastMark_;
+    sluice.markAt = now;
+    orders->set_mark(markOfLines(sluice.mark));
+    orders->set_index(plans_.index());
+    sluice.link->send(frame);
+}
+
+void Headworks::runModules(Micros now) {
+    if (steering_.nextDue() > now) return;
+    for (aqueduct::Steering::Batch& batch : steering_.turn(now)) {
+        const auto at = sluices_.find(batch.sluice);
+        if (at == sluices_.end()) continue;
+        proto::Frame frame;
+        auto* orders = frame.mutable_orders();
+        orders->set_mark(markOfModules(batch.mark));
+        for (proto::Line& line : batch.lines) *orders->add_lines() = std::move(line);
+        at->second.link->send(frame);
+    }
+}
+
+void Headworks::sendWord(Micros now) {
+    nextWord_ = now + kWordEvery;
+    proto::Frame frame;
+    auto* word = frame.mutable_word();
+    word->set_sluices(static_cast<std::uint32_t>(sluices_.size()));
+    tellPeers(frame);
+    word->set_age(replica_->sureAge(now));
+    word->set_index(plans_.index());
+    word->set_sluices(static_cast<std::uint32_t>(sluicesMost_));
+    for (const auto& [address, peer] : peers_) {
+        if (!peer.link || static_cast<std::size_t>(word->headworks_size()) >= 12) continue;
+        const auto known = view_.peers().find(address);
+        if (known != view_.peers().end()) *word->add_headworks() = known->second;
+    }
+    for (auto& [id, sluice] : sluices_) sluice.link->send(frame);
+}
+
+void Headworks::countSluices(Micros now) {
+    std::erase_if(sluicesAt_, [&](const auto& at) { return now - at.second.first > kOthersKept; });
+    std::size_t count = sluices_.size(), seen = 0;
+    for (const auto& [address, told] : sluicesAt_) count += told.second;
+    for (const auto& [address, peer] : view_.peers()) seen += peer.control().empty() ? 1 : 0;
+    count = std::max(count, std::min<std::size_t>(seen, 16));
+    const std::size_t before = sluicesMost_;
+    if (count >= sluicesMost_ || now - sluicesMostAt_ > kMostKept) {
+        sluicesMost_ = count;
+        sluicesMostAt_ = now;
+    }
+    if (sluicesMost_ != before) plansChanged(now);
+}
+
+// ---- Time ----
+
+void Headworks::endLate(Micros now) {
+    std::vector<Answer> late;
+    for (auto at = waiting_.begin(); at != waiting_.end();) {
+        if (now < at->second.until) {
+            ++at;
+            continue;
+        }
+        late.push_back(std::move(at->second.answer));
+        at = waiting_.erase(at);
+    }
+    for (auto at = reading_.begin(); at != reading_.end();) {
+        if (now < at->second.until) {
+            ++at;
+            continue;
+        }
+        late.push_back(std::move(at->second.answer));
+        at = reading_.erase(at);
+    }
+    for (auto at = telling_.begin(); at != telling_.end();) {
+        if (now < at->second.until) {
+            ++at;
+            continue;
+        }
+        late.push_back(std::move(at->second.answer));
+        at = telling_.erase(at);
+    }
+    std::deque<Held> again;
+    again.swap(held_);
+    for (Held& held : again) order(std::move(held), now);
+    for (Answer& answer : late) answer(problem(503, "not settled in time"));
+}
+
+void Headworks::tick() {
+    const Micros now = steadyNow();
+    replica_->tick(now);
+    while (auto letter = view_.due(now)) datagrams_.send(letter->to, letter->shuffle);
+    if (now >= nextWord_) sendWord(now);
+    if (now >= nextNews_) {
+        sendNews(now);
+        nextNews_ = now + kNewsEvery;
+        endLate(now);
+        dialPeers(now);
+    }
+    if (now >= nextSweep_) {
+        nextSweep_ = now + kSweepEvery;
+        countSluices(now);
+        if (registry_.tick(now)) serversChanged(now);
+        if (!wholeTold_ && whole(now)) {
+            // What was handed out before was a part; now what isn't named is gone.
+            wholeTold_ = true;
+            for (auto& [id, sluice] : sluices_) {
+                sluice.copied = false;
+                sluice.pending.clear();
+            }
+        }
+        for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, false);
+    }
+    work();
+}
+
+void Headworks::arm() {
+    if (working_) return;
+    const Micros now = steadyNow();
+    Micros due = std::min({replica_->nextDue(), view_.nextDue(), steering_.nextDue(), nextWord_, nextNews_, nextSweep_});
+    due = std::max(due, now + 1000);
+    if (armedFor_ > now && armedFor_ <= due) return;
+    armedFor_ = due;
+    timer_.expires_after(std::chrono::microseconds(due - now));
+    timer_.async_wait([this](boost::system::error_code wrong) {
+        if (wrong) return;
+        armedFor_ = 0;
+        tick();
+    });
+}
+
+std::string Headworks::status() const {
+    const Micros now = steadyNow();
+    rapidjson::StringBuffer text;
+    rapidjson::Writer<rapidjson::StringBuffer> json(text);
+    const auto string = [&](const std::string& s) { json.String(s.c_str(), static_cast<unsigned>(s.size())); };
+    json.StartObject();
+    json.Key("node");
+    string(settings_.node);
+    json.Key("leader");
+    string(lastLeader_);
+    json.Key("term");
+    json.Uint64(replica_->term());
+    json.Key("sure_age_us");
+    json.Int64(replica_->sureAge(now));
+    json.Key("voters");
+    json.StartArray();
+    for (const proto::Member& voter : replica_->members().voters()) string(voter.address());
+    json.EndArray();
+    json.Key("version");
+    json.Uint64(plans_.configuration().version);
+    json.Key("index");
+    json.Uint64(plans_.index());
+    json.Key("emptied");
+    json.StartArray();
+    for (const std::string& zone : plans_.emptied()) string(zone);
+    json.EndArray();
+    json.Key("sluices");
+    json.StartArray();
+    for (const auto& [id, sluice] : sluices_) {
+        json.StartObject();
+        json.Key("node");
+        string(sluice.peer.node());
+        json.Key("zone");
+        string(sluice.peer.zone());
+        json.Key("index");
+        json.Uint64(sluice.index);
+        json.Key("unanswered");
+        json.Bool(sluice.mark != 0);
+        json.EndObject();
+    }
+    json.EndArray();
+    json.Key("servers");
+    json.StartArray();
+    for (const auto& [id, server] : registry_.servers()) {
+        json.StartObject();
+        json.Key("id");
+        string(id);
+        json.Key("service");
+        string(server.said.service());
+        json.Key("address");
+        string(server.said.address());
+        json.Key("zone");
+        string(server.said.zone());
+        json.Key("emptying");
+        json.Bool(server.said.emptying());
+        json.Key("heard_ago_us");
+        json.Int64(now - server.heardAt);
+        json.Key("cold_left_us");
+        json.Int64(registry_.coldLeft(server, now));
+        json.EndObject();
+    }
+    json.EndArray();
+    json.EndObject();
+    return text.GetString();
+}
+
+}  // namespace marldale::headworks
--- /dev/null
+++ b/src/gateway/plans/plans.h
@@ -0,0 +1,56 @@
+// What is in force by the operator's word: the state machine behind the ledger. Every core machine applies the same changes in
+// the same order and comes to the same verdicts. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "gateway/plans/configuration.h"
+
+namespace marldale::plans {
+
+// Changes as the ledger holds them.
+[[nodiscard]] std::string replaceChange(const std::string& json);
+[[nodiscard]] std::string zoneChange(const std::string& zone, bool empty);
+
+enum class Verdict {
+    taken,    // in force now
+    already,  // the very same was taken before
+    stale,    // another version is current
+    invalid,
+};
+
+class Plans {
+public:
+    // The next change of the log. Anything but `taken` changes nothing.
+    Verdict apply(std::uint64_t index, const std::string& change);
+    // What `apply` would say of it now.
+    [[nodiscard]] Verdict judge(const std::string& change) const;
+
+    [[nodiscard]] const std::string& json() const { return json_; }  // as it was sent; empty: none yet
+    [[nodiscard]] const Configuration& configuration() const { return configuration_; }
+    [[nodiscard]] const std::set<std::string>& emptied() const { return emptied_; }  // zones
+    [[nodiscard]] std::uint64_t index() const { return index_; }  // of the last change that was taken
+
+    [[nodiscard]] std::string snapshot() const;
+    [[nodiscard]] absl::Status restore(const std::string& snapshot);
+
+private:
+    struct Replace {
+        Verdict verdict = Verdict::invalid;
+        Configuration configuration;
+    };
+    [[nodiscard]] Replace judgeReplace(const std::string& json) const;
+
+    std::string json_;
+    Configuration configuration_;
+    std::map<std::uint64_t, std::uint64_t> taken_;  // hash of the text by version, the newest ones
+    std::set<std::string> emptied_;
+    std::uint64_t index_ = 0;
+};
+
+}  // namespace marldale::plans
--- a/src/gateway/program/main.cpp
+++ b/src/gateway/program/main.cpp
@@ -1,1 +1,4 @@
-int main() { return 0; }
+// marldale sluice | headworks | check FILE... | calls
+#include "gateway/program/program.h"
+
+int main(int argc, char** argv) { return marldale::program::run(argc, argv); }
--- a/src/gateway/program/version.cpp
+++ /dev/null
@@ -1,3 +0,0 @@
-namespace marldale::gateway {
-const char* programName() { return "marldale"; }
-}  // namespace marldale::gateway
--- /dev/null
+++ b/src/gateway/settings/settings.cpp
@@ -0,0 +1,192 @@
+#include "gateway/settings/settings.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/schema.h>
+#include <rapidjson/stringbuffer.h>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <sstream>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace marldale::settings {
+namespace {
+
+constexpr const char* kSchema = R"({
+ "type": "object",
+ "required": ["node_name", "ip_address", "zone", "listen_on", "inside_ports", "seed_nodes", "first_run"],
+ "properties": {
+  "node_name": {"type": "string", "minLength": 1},
+  "ip_address": {"type": "string", "pattern": "^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+$"},
+  "zone": {"type": "string", "minLength": 1},
+  "zones": {"type": "object"},
+  "listen_on": {"type": "object"},
+  "inside_ports": {"type": "array", "minItems": 2, "items": {"type": "integer", "minimum": 1, "maximum": 65535}},
+  "seed_nodes": {"type": "array", "items": {"type": "string", "pattern": "^[^:]+:[0-9]+$"}},
+  "first_run": {"type": "boolean"},
+  "limits": {"type": "object", "properties": {
+    "processor_share": {"type": "number", "minimum": 0},
+    "memory_mb": {"type": "number", "minimum": 1},
+    "open_files": {"type": "integer", "minimum": 64}}},
+  "bounds": {"type": "object"}
+ }
+})";
+
+// YAML's scalars have no types of their own: a plain true, false or number is one, anything quoted is text.
+rapidjson::Value valueOf(const YAML::Node& node, rapidjson::Document::AllocatorType& memory) {
+    rapidjson::Value out;
+    if (node.IsMap()) {
+        out.SetObject();
+        for (const auto& entry : node) {
+            const std::string name = entry.first.Scalar();
+            out.AddMember(rapidjson::Value(name.c_str(), static_cast<unsigned>(name.size()), memory), valueOf(entry.second, memory), memory);
+        }
+    } else if (node.IsSequence()) {
+        out.SetArray();
+        for (const YAML::Node& item : node) out.PushBack(valueOf(item, memory), memory);
+    } else if (node.IsScalar()) {
+        const std::string& text = node.Scalar();
+        std::int64_t whole = 0;
+        double number = 0;
+        const bool quoted = node.Tag() == "!";
+        if (!quoted && (text == "true" || text == "false")) {
+            out.SetBool(text == "true");
+        } else if (!quoted && absl::SimpleAtoi(text, &whole)) {
+            out.SetInt64(whole);
+        } else if (!quoted && absl::SimpleAtod(text, &number)) {
+            out.SetDouble(number);
+        } else {
+            out.SetString(text.c_str(), static_cast<unsigned>(text.size()), memory);
+        }
+    }
+    return out;
+}
+
+const rapidjson::Value* find(const rapidjson::Value& from, const char* key) {
+    if (!from.IsObject()) return nullptr;
+    const auto at = from.FindMember(key);
+    return at == from.MemberEnd() || at->value.IsNull() ? nullptr : &at->value;
+}
+std::string text(const rapidjson::Value& from, const char* key) {
+    const rapidjson::Value* at = find(from, key);
+    return at != nullptr && at->IsString() ? std::string(at->GetString(), at->GetStringLength()) : std::string();
+}
+template <class Number>
+void number(const rapidjson::Value& from, const char* key, Number& into) {
+    const rapidjson::Value* at = find(from, key);
+    if (at != nullptr && at->IsNumber()) into = static_cast<Number>(at->GetDouble());
+}
+absl::Status time(const rapidjson::Value& from, const char* key, Micros& into) {
+    const rapidjson::Value* at = find(from, key);
+    if (at == nullptr) return absl::OkStatus();
+    if (!at->IsString()) return absl::InvalidArgumentError(absl::StrCat(key, ": a time is a text such as \"1500ms\""));
+    const auto read = readTime(std::string_view(at->GetString(), at->GetStringLength()));
+    if (!read.ok()) return absl::InvalidArgumentError(absl::StrCat(key, ": ", read.status().message()));
+    into = *read;
+    return absl::OkStatus();
+}
+
+}  // namespace
+
+std::vector<std::string> Settings::insideSeeds() const {
+    std::vector<std::string> out;
+    for (const std::string& seed : seeds) out.push_back(seed.substr(0, seed.find(':')) + ":" + std::to_string(portFirst));
+    return out;
+}
+
+absl::StatusOr<Micros> readTime(std::string_view text) {
+    double factor = 0;
+    if (text.size() > 2 && text.substr(text.size() - 2) == "ms") {
+        factor = 1e3;
+        text.remove_suffix(2);
+    } else if (text.size() > 1 && text.back() == 's') {
+        factor = 1e6;
+        text.remove_suffix(1);
+    } else {
+        return absl::InvalidArgumentError("a time is a number and its unit, ms or s");
+    }
+    double value = 0;
+    const bool plain = text.find_first_not_of("0123456789.") == std::string_view::npos;
+    if (!plain || !absl::SimpleAtod(std::string(text), &value) || !std::isfinite(value) || value * factor > 9e15) {
+        return absl::InvalidArgumentError("a time is a number and its unit, ms or s");
+    }
+    return static_cast<Micros>(std::llround(value * factor));
+}
+
+absl::StatusOr<Settings> parse(const std::string& yaml) {
+    rapidjson::Document json;
+    try {
+        const rapidjson::Value value = valueOf(YAML::Load(yaml), json.GetAllocator());
+        json.CopyFrom(value, json.GetAllocator());
+    } catch (const YAML::Exception& wrong) {
+        return absl::InvalidArgumentError(absl::StrCat("settings are no YAML: ", wrong.what()));
+    }
+    rapidjson::Document rules;
+    rules.Parse(kSchema);
+    const rapidjson::SchemaDocument schema(rules);
+    rapidjson::SchemaValidator validator(schema);
+    if (!json.Accept(validator)) {
+        rapidjson::StringBuffer where;
+        validator.GetInvalidDocumentPointer().StringifyUriFragment(where);
+        return absl::InvalidArgumentError(absl::StrCat("settings ", where.GetString(), ": breaks the rule '", validator.GetInvalidSchemaKeyword(), "'"));
+    }
+    Settings out;
+    out.node = text(json, "node_name");
+    out.role = text(json, "role");
+    out.ip = text(json, "ip_address");
+    out.zone = text(json, "zone");
+    out.region = text(json, "region");
+    if (const auto* zones = find(json, "zones")) {
+        for (const auto& zone : zones->GetObject()) {
+            out.zones[zone.name.GetString()] = zone.value.IsString() ? zone.value.GetString() : "";
+        }
+    }
+    out.zones.emplace(out.zone, out.region);
+    const rapidjson::Value& listen = json["listen_on"];
+    out.front = text(listen, "front");
+    out.readiness = text(listen, "readiness");
+    out.control = text(listen, "control");
+    out.portFirst = json["inside_ports"][0].GetUint();
+    out.portLast = json["inside_ports"][1].GetUint();
+    if (out.portLast < out.portFirst) return absl::InvalidArgumentError("settings #/inside_ports: the second is below the first");
+    for (const auto& seed : json["seed_nodes"].GetArray()) out.seeds.emplace_back(seed.GetString());
+    out.firstRun = json["first_run"].GetBool();
+    if (const auto* limits = find(json, "limits")) {
+        number(*limits, "processor_share", out.processorShare);
+        number(*limits, "cores", out.cores);
+        number(*limits, "memory_mb", out.memoryMb);
+        number(*limits, "open_files", out.openFiles);
+        number(*limits, "disk_mb", out.diskMb);
+    }
+    out.dataFolder = text(json, "data_folder");
+    if (auto s = time(json, "beat_every", out.beatEvery); !s.ok()) return s;
+    if (const auto* b = find(json, "bounds")) {
+        for (const auto& [key, into] : std::initializer_list<std::pair<const char*, Micros*>>{
+                 {"seed_delay", &out.bounds.seedDelay}, {"reuse_after", &out.bounds.reuseAfter}, {"in_touch", &out.bounds.inTouch},
+                 {"confirm", &out.bounds.confirm}, {"catch_up", &out.bounds.catchUp}, {"drain", &out.bounds.drain},
+                 {"grace", &out.bounds.grace}, {"apply", &out.bounds.apply}, {"go_back", &out.bounds.goBack},
+                 {"stretch", &out.bounds.stretch}, {"retry_window", &out.bounds.retryWindow},
+                 {"empty_zone", &out.bounds.emptyZone}, {"recover", &out.bounds.recover}}) {
+            if (auto s = time(*b, key, *into); !s.ok()) return s;
+        }
+        number(*b, "retry_ratio", out.bounds.retryRatio);
+        number(*b, "extra_tries", out.bounds.extraTries);
+        number(*b, "cold_excess", out.bounds.coldExcess);
+        number(*b, "cold_margin", out.bounds.coldMargin);
+    }
+    return out;
+}
+
+absl::StatusOr<Settings> readFile(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) return absl::NotFoundError(absl::StrCat("settings: ", path, " can't be read"));
+    std::ostringstream all;
+    all << file.rdbuf();
+    return parse(all.str());
+}
+
+}  // namespace marldale::settings
--- /dev/null
+++ b/tests/gateway/registry_test.cpp
@@ -0,0 +1,119 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "gateway/gauges/registry.h"
+
+namespace marldale::gauges {
+namespace {
+
+constexpr Micros kS = 1000000;
+
+proto::Server beat(const std::string& id, std::uint64_t count, const std::string& address = "10.0.0.1:80") {
+    proto::Server out;
+    out.set_id(id);
+    out.set_service("a");
+    out.set_address(address);
+    out.set_zone("north");
+    out.set_free_places(3);
+    out.set_call_count(count);
+    return out;
+}
+
+}  // namespace
+
+TEST_CASE("A late beat changes nothing", "[registry]") {
+    Registry registry({});
+    CHECK(registry.heard(kS, beat("i", 4)) == Registry::News::changed);
+    auto emptying = beat("i", 6);
+    emptying.set_emptying(true);
+    CHECK(registry.heard(2 * kS, emptying) == Registry::News::urgent);
+    CHECK(registry.heard(2 * kS, beat("i", 5)) == Registry::News::old);
+    CHECK_FALSE(registry.servers().at("i").usable());
+    CHECK(registry.heard(2 * kS, emptying) == Registry::News::old);
+}
+
+TEST_CASE("A new life at an address voids the old one, for good", "[registry]") {
+    Registry registry({});
+    registry.heard(kS, beat("old", 9));
+    CHECK(registry.heard(2 * kS, beat("new", 1)) == Registry::News::changed);
+    CHECK(registry.servers().count("old") == 0);
+    CHECK(registry.heard(2 * kS, beat("old", 10)) == Registry::News::old);
+    CHECK(registry.servers().size() == 1);
+}
+
+TEST_CASE("Who has signed off does not come back by late news", "[registry]") {
+    Registry registry({});
+    registry.heard(kS, beat("i", 4));
+    auto gone = beat("i", 5);
+    gone.set_gone(true);
+    CHECK(registry.heard(2 * kS, gone) == Registry::News::urgent);
+    auto news = beat("i", 4);
+    news.set_heard_ago(kS);
+    CHECK(registry.heard(2 * kS, news) == Registry::News::old);
+    CHECK(registry.servers().empty());
+}
+
+TEST_CASE("Silence ends a server, unless it answers requests or nobody at all is heard", "[registry]") {
+    Registry registry({});
+    registry.heard(0, beat("silent", 1, "10.0.0.1:80"));
+    registry.heard(0, beat("busy", 1, "10.0.0.2:80"));
+    for (Micros now = 0; now <= 6 * kS; now += kS) {
+        registry.heard(now, beat("there", static_cast<std::uint64_t>(now + 1), "10.0.0.3:80"));
+        registry.alive(now, "busy");
+        registry.tick(now);
+    }
+    CHECK(registry.servers().count("silent") == 0);
+    CHECK(registry.servers().count("busy") == 1);
+    registry.tick(60 * kS);  // deaf since 6 s
+    CHECK(registry.servers().size() == 2);
+    CHECK(registry.heard(61 * kS, beat("silent", 2)) == Registry::News::changed);
+}
+
+TEST_CASE("After a zone is taken back its servers are cold until a beat from after it says otherwise", "[registry]") {
+    Registry registry({});
+    registry.heard(10 * kS, beat("i", 4));
+    registry.chilled(11 * kS, "north", {{"a", 3 * kS}});
+    CHECK(registry.coldLeft(registry.servers().at("i"), 11 * kS) == 3 * kS);
+    auto before = beat("i", 5);
+    before.set_heard_ago(2 * kS);  // passed on by another headworks, from before
+    registry.heard(12 * kS, before);
+    CHECK(registry.coldLeft(registry.servers().at("i"), 12 * kS) == 2 * kS);
+    CHECK(registry.heard(12 * kS + 500000, beat("i", 6)) == Registry::News::changed);
+    CHECK(registry.coldLeft(registry.servers().at("i"), 12 * kS + 500000) == 0);
+}
+
+TEST_CASE("A cold time counts from when it was said", "[registry]") {
+    Registry registry({});
+    auto cold = beat("i", 4);
+    cold.set_cold_left(3 * kS);
+    cold.set_heard_ago(kS);
+    CHECK(registry.heard(10 * kS, cold) == Registry::News::changed);
+    CHECK(registry.coldLeft(registry.servers().at("i"), 10 * kS) == 2 * kS);
+    const proto::Server word = registry.wordOf(registry.servers().at("i"), 10 * kS);
+    CHECK(word.heard_ago() == kS);
+    CHECK(word.cold_left() == 3 * kS);
+}
+
+TEST_CASE("Two registries that hear the same in any order agree on who is there", "[registry]") {
+    std::mt19937_64 draw(11);
+    for (int history = 0; history < 200; ++history) {
+        std::vector<proto::Server> said;
+        for (std::uint64_t i = 0; i < 6; ++i) {
+            const std::string id = "i" + std::to_string(i);
+            for (std::uint64_t count = 1; count < 5; ++count) {
+                auto one = beat(id, count, "10.0.0." + std::to_string(i) + ":80");
+                one.set_emptying(count >= 3 && i % 2 == 0);
+                one.set_gone(count == 4 && i % 3 == 0);
+                said.push_back(one);
+            }
+        }
+        Registry first({}), second({});
+        for (const auto& one : said) first.heard(kS, one);
+        std::shuffle(said.begin(), said.end(), draw);
+        for (const auto& one : said) second.heard(kS, one);
+        REQUIRE(first.servers().size() == second.servers().size());
+        for (const auto& [id, server] : first.servers()) REQUIRE(second.servers().at(id).usable() == server.usable());
+    }
+}
+
+}  // namespace marldale::gauges
