Ledger: replica without I/O (Raft, joint changes of members) and store on LMDB, first version

Cause: headworks need the log behind the given headers.

Entries that carry members also carry those going out, whose majority is asked too: a wiped machine's replacement in one step would else let a leader that was voted out with the old one's vote commit with the new one alone. Seeds of the first start are written at once, since a later start may be told others. Additive: proto fields, Settings::silentFor, Faults (for tests), onBreach.

--- a/src/gateway/ledger/replica.h
+++ b/src/gateway/ledger/replica.h
@@ -28,14 +28,35 @@
     std::vector<proto::Entry> entries;  // after the snapshot, without gaps
 };
 
+// Planted by tests, to show that their world finds them. All off in service.
+struct Faults {
+    bool answersVoteUnsynced = false;
+    bool answersAppendUnsynced = false;
+    bool countsOwnUnsynced = false;    // a leader's own entries count before its disk has them
+    bool readsAlone = false;           // without a round
+    bool commitsOldTerms = false;      // entries of earlier terms by counting
+    bool votesForShorterLogs = false;
+    bool changesAtOnce = false;        // members change though the last change isn't committed
+    bool forgetsOutgoing = false;      // the old members' majority isn't asked for
+    bool countsVotesByAddress = false; // whatever the number
+    bool trustsArrival = false;        // `sureAge` counts from when word arrived
+};
+
 struct Settings {
     std::vector<std::string> seeds;  // addresses (inside) of the first voters; used only where `self.number` is 0
     std::uint64_t seed = 1;          // of election times
     std::size_t votersMost = 7;      // an odd number of voters is aimed at, up to this; the others learn
     Micros heartbeat = 150000;
     Micros electionLeast = 600000, electionMost = 1200000;
+    Micros silentFor = 20000000;  // a voter that is silent so long gives its place to a learner that has caught up
+    Faults faults;
 };
 
+// What must never be, in words. By default written to standard error, and the process ends; tests put a function here
+// that throws.
+using Breach = void (*)(const char* sentence);
+void onBreach(Breach breach);
+
 // One sync of the disk: all of it, or nothing. Writes are done in order; `Replica::persisted` tells the last done.
 struct Write {
     std::uint64_t number = 0;
--- /dev/null
+++ b/src/gateway/ledger/store.cpp
@@ -0,0 +1,342 @@
+#include "gateway/ledger/store.h"
+
+#include <fcntl.h>
+#include <lmdb.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <random>
+#include <string_view>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/strings/str_cat.h"
+
+namespace marldale::ledger {
+
+namespace {
+
+// A record: its version, a checksum over its key and its bytes, the count of its bytes, its bytes (protobuf).
+constexpr unsigned char kVersion = 1;
+constexpr std::size_t kHeader = 1 + 8 + 4;
+constexpr const char* kFile = "ledger.mdb";
+constexpr const char* kFresh = "ledger.new";  // until it is whole
+const std::string kHead = "head";
+const std::string kSnapshot = "snapshot";
+
+template <typename Number>
+void put(std::string& out, Number number, bool mostFirst) {
+    for (std::size_t k = 0; k < sizeof(Number); ++k)
+        out.push_back(static_cast<char>(number >> (8U * (mostFirst ? sizeof(Number) - 1 - k : k))));
+}
+template <typename Number>
+Number get(std::string_view in, std::size_t from) {
+    Number number = 0;
+    for (std::size_t k = 0; k < sizeof(Number); ++k)
+        number |= static_cast<Number>(static_cast<unsigned char>(in[from + k])) << (8U * k);
+    return number;
+}
+std::string entryKey(Index index) {
+    std::string key = "e";
+    put(key, index, true);
+    return key;
+}
+std::string nameOf(std::string_view key) {
+    if (key.size() != 9 || key[0] != 'e') return std::string(key);
+    Index index = 0;
+    for (std::size_t k = 1; k < 9; ++k) index = index << 8U | static_cast<unsigned char>(key[k]);
+    return absl::StrCat("entry ", index);
+}
+std::uint64_t checksum(std::string_view key, std::string_view bytes) {
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), XXH3_64bits(key.data(), key.size()));
+}
+
+// LMDB's errors and the system's, in the ledger's words. `full`: may well work later.
+absl::Status turned(int code, const std::string& doing, const std::string& path) {
+    const std::string what = absl::StrCat("the ledger at ", path, ": ", doing, ": ");
+    switch (code) {
+        case 0: return absl::OkStatus();
+        case MDB_MAP_FULL:
+            return absl::ResourceExhaustedError(absl::StrCat(what, "it has reached its greatest size"));
+        case ENOSPC:
+        case EDQUOT: return absl::ResourceExhaustedError(absl::StrCat(what, "the disk is full"));
+        case MDB_INVALID:
+        case MDB_VERSION_MISMATCH:
+            return absl::DataLossError(absl::StrCat(what, "this is no ledger, or its first page is damaged"));
+        case MDB_CORRUPTED:
+        case MDB_PAGE_NOTFOUND: return absl::DataLossError(absl::StrCat(what, "a page is damaged"));
+        case EACCES:
+        case EPERM:
+        case EROFS: return absl::PermissionDeniedError(absl::StrCat(what, "not allowed"));
+        default: return absl::UnavailableError(absl::StrCat(what, mdb_strerror(code)));
+    }
+}
+
+absl::Status syncFolder(const std::string& folder) {
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) return turned(errno, "opening the folder", folder);
+    const int code = ::fsync(fd) == 0 ? 0 : errno;
+    ::close(fd);
+    return turned(code, "syncing the folder", folder);
+}
+
+}  // namespace
+
+struct Store::State {
+    std::string path;
+    std::size_t mapBytes = 0;
+    MDB_env* env = nullptr;
+    MDB_dbi dbi = 0;
+    proto::DiskHead head;
+
+    ~State() { shut(); }
+    void shut() {
+        if (env != nullptr) mdb_env_close(env);
+        env = nullptr;
+    }
+    absl::Status fail(int code, const char* doing) const { return turned(code, doing, path); }
+    absl::Status damaged(const std::string& what) const {
+        return absl::DataLossError(absl::StrCat("the ledger at ", path, ": ", what));
+    }
+
+    absl::Status start() {
+        shut();
+        int code = mdb_env_create(&env);
+        if (code == 0) code = mdb_env_set_mapsize(env, mapBytes);
+        // No lock file: one process, one thread that writes.
+        if (code == 0)
+            code = mdb_env_open(env, path.c_str(), MDB_NOSUBDIR | MDB_NOLOCK | MDB_NORDAHEAD, 0644);
+        MDB_txn* txn = nullptr;
+        if (code == 0) code = mdb_txn_begin(env, nullptr, MDB_RDONLY, &txn);
+        if (code == 0) code = mdb_dbi_open(txn, nullptr, 0, &dbi);
+        if (txn != nullptr) mdb_txn_abort(txn);
+        if (code != 0) shut();
+        return fail(code, "opening");
+    }
+
+    static int putRecord(MDB_txn* txn, MDB_dbi dbi, const std::string& key,
+                         const google::protobuf::MessageLite& message) {
+        const std::string bytes = message.SerializeAsString();
+        std::string record;
+        record.reserve(kHeader + bytes.size());
+        record.push_back(static_cast<char>(kVersion));
+        put(record, checksum(key, bytes), false);
+        put(record, static_cast<std::uint32_t>(bytes.size()), false);
+        record += bytes;
+        MDB_val k{key.size(), const_cast<char*>(key.data())};
+        MDB_val v{record.size(), record.data()};
+        return mdb_put(txn, dbi, &k, &v, 0);
+    }
+    absl::Status parse(std::string_view key, std::string_view record,
+                       google::protobuf::MessageLite& into) const {
+        const std::string name = nameOf(key);
+        if (record.size() < kHeader)
+            return damaged(absl::StrCat(name, " is cut short: ", record.size(), " bytes"));
+        if (static_cast<unsigned char>(record[0]) != kVersion)
+            return damaged(absl::StrCat(name, " has version ",
+                                        static_cast<unsigned>(static_cast<unsigned char>(record[0])),
+                                        ", known is ", static_cast<unsigned>(kVersion)));
+        const std::string_view bytes = record.substr(kHeader);
+        if (get<std::uint32_t>(record, 9) != bytes.size())
+            return damaged(absl::StrCat(name, " has ", bytes.size(), " bytes, not the ",
+                                        get<std::uint32_t>(record, 9), " it tells"));
+        if (get<std::uint64_t>(record, 1) != checksum(key, bytes))
+            return damaged(absl::StrCat(name, " doesn't match its checksum"));
+        if (!into.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+            return damaged(absl::StrCat(name, " can't be read"));
+        return absl::OkStatus();
+    }
+    // Nothing found: false.
+    absl::StatusOr<bool> getRecord(MDB_txn* txn, const std::string& key,
+                                   google::protobuf::MessageLite& into) const {
+        MDB_val k{key.size(), const_cast<char*>(key.data())};
+        MDB_val v{};
+        const int code = mdb_get(txn, dbi, &k, &v);
+        if (code == MDB_NOTFOUND) return false;
+        if (code != 0) return fail(code, "reading");
+        if (auto s = parse(key, {static_cast<const char*>(v.mv_data), v.mv_size}, into); !s.ok()) return s;
+        return true;
+    }
+
+    absl::Status loadHead(MDB_txn* txn, proto::DiskHead& found) const {
+        const auto there = getRecord(txn, kHead, found);
+        if (!there.ok()) return there.status();
+        if (!*there) return damaged("its head is missing");
+        if (found.transaction() != mdb_txn_id(txn))
+            return damaged(absl::StrCat("its root is of another time: transaction ", mdb_txn_id(txn),
+                                        ", its head tells ", found.transaction()));
+        return absl::OkStatus();
+    }
+    absl::Status beginFrom() {
+        MDB_txn* txn = nullptr;
+        if (const int code = mdb_txn_begin(env, nullptr, MDB_RDONLY, &txn); code != 0)
+            return fail(code, "reading");
+        auto status = loadHead(txn, head);
+        mdb_txn_abort(txn);
+        return status;
+    }
+    absl::StatusOr<Stored> load() const {
+        MDB_txn* txn = nullptr;
+        if (const int code = mdb_txn_begin(env, nullptr, MDB_RDONLY, &txn); code != 0)
+            return fail(code, "reading");
+        const std::unique_ptr<MDB_txn, void (*)(MDB_txn*)> guard(txn, mdb_txn_abort);
+        proto::DiskHead found;
+        if (auto s = loadHead(txn, found); !s.ok()) return s;
+        Stored out;
+        out.self = found.self();
+        out.term = found.term();
+        if (found.has_voted()) out.voted = found.voted();
+        const auto there = getRecord(txn, kSnapshot, out.snapshot);
+        if (!there.ok()) return there.status();
+        if (out.snapshot.index() != found.snapshot_index())
+            return damaged(absl::StrCat("its snapshot is of index ", out.snapshot.index(), ", not ",
+                                        found.snapshot_index()));
+        MDB_cursor* cursor = nullptr;
+        if (const int code = mdb_cursor_open(txn, dbi, &cursor); code != 0) return fail(code, "reading");
+        const std::unique_ptr<MDB_cursor, void (*)(MDB_cursor*)> shutCursor(cursor, mdb_cursor_close);
+        const std::string first = entryKey(0);
+        MDB_val k{first.size(), const_cast<char*>(first.data())};
+        MDB_val v{};
+        Index last = out.snapshot.index();
+        int code = mdb_cursor_get(cursor, &k, &v, MDB_SET_RANGE);
+        for (; code == 0; code = mdb_cursor_get(cursor, &k, &v, MDB_NEXT)) {
+            const std::string_view key(static_cast<const char*>(k.mv_data), k.mv_size);
+            if (key.size() != first.size() || key[0] != 'e') break;
+            auto& entry = out.entries.emplace_back();
+            if (auto s = parse(key, {static_cast<const char*>(v.mv_data), v.mv_size}, entry); !s.ok())
+                return s;
+            if (entry.index() != last + 1 || key != entryKey(entry.index()))
+                return damaged(absl::StrCat("after index ", last, " comes ", nameOf(key),
+                                            ", which tells index ", entry.index()));
+            last = entry.index();
+        }
+        if (code != 0 && code != MDB_NOTFOUND) return fail(code, "reading");
+        if (last != found.last_index())
+            return damaged(absl::StrCat("it ends at index ", last, ", its head tells ", found.last_index()));
+        return out;
+    }
+
+    // Drops the entries from `from` through `through`.
+    static int drop(MDB_txn* txn, MDB_dbi dbi, Index from, Index through) {
+        if (from > through) return 0;
+        MDB_cursor* cursor = nullptr;
+        int code = mdb_cursor_open(txn, dbi, &cursor);
+        if (code != 0) return code;
+        const std::string key = entryKey(from);
+        const std::string end = entryKey(through);
+        MDB_val k{key.size(), const_cast<char*>(key.data())};
+        MDB_val v{};
+        code = mdb_cursor_get(cursor, &k, &v, MDB_SET_RANGE);
+        while (code == 0) {
+            const std::string_view at(static_cast<const char*>(k.mv_data), k.mv_size);
+            if (at.size() != end.size() || at[0] != 'e' || at > end) break;
+            code = mdb_cursor_del(cursor, 0);
+            if (code == 0) code = mdb_cursor_get(cursor, &k, &v, MDB_NEXT);
+        }
+        mdb_cursor_close(cursor);
+        return code == MDB_NOTFOUND ? 0 : code;
+    }
+
+    int fill(MDB_txn* txn, const Write& write, proto::DiskHead& next) const {
+        int code = 0;
+        if (write.hard) {
+            next.set_term(write.term);
+            next.clear_voted();
+            if (write.voted) *next.mutable_voted() = *write.voted;
+        }
+        if (write.cutFrom && code == 0) {
+            code = drop(txn, dbi, *write.cutFrom, ~Index{0});
+            next.set_last_index(std::min(next.last_index(), *write.cutFrom - 1));
+        }
+        if (write.snapshot && code == 0) {
+            code = drop(txn, dbi, 0, write.snapshot->index());
+            if (code == 0) code = putRecord(txn, dbi, kSnapshot, *write.snapshot);
+            next.set_snapshot_index(write.snapshot->index());
+            next.set_last_index(std::max(next.last_index(), write.snapshot->index()));
+        }
+        for (const auto& entry : write.entries) {
+            if (code != 0) break;
+            code = putRecord(txn, dbi, entryKey(entry.index()), entry);
+            next.set_last_index(entry.index());
+        }
+        next.set_transaction(mdb_txn_id(txn));
+        if (code == 0) code = putRecord(txn, dbi, kHead, next);
+        return code;
+    }
+
+    absl::Status write(const Write& write) {
+        if (env == nullptr)
+            if (auto s = start(); !s.ok()) return s;
+        MDB_txn* txn = nullptr;
+        int code = mdb_txn_begin(env, nullptr, 0, &txn);
+        if (code == MDB_PANIC) {
+            // Its root couldn't be written the last time; opened anew, it goes on from the one before.
+            if (auto s = start(); !s.ok()) return s;
+            code = mdb_txn_begin(env, nullptr, 0, &txn);
+        }
+        if (code != 0) return fail(code, "writing");
+        proto::DiskHead next = head;
+        code = fill(txn, write, next);
+        if (code != 0) {
+            mdb_txn_abort(txn);
+            return fail(code, "writing");
+        }
+        // LMDB syncs the pages, then writes the root through a descriptor with O_DSYNC, which the system's
+        // disk may not heed: so the root gets a sync of its own.
+        code = mdb_txn_commit(txn);
+        if (code != 0) return fail(code, "writing");
+        head = next;  // in the file, if not on the disk yet; the same write done again leads to the same
+        return fail(mdb_env_sync(env, 1), "syncing");
+    }
+};
+
+Store::Store(std::unique_ptr<State> state) : state_(std::move(state)) {}
+Store::~Store() = default;
+
+absl::StatusOr<std::unique_ptr<Store>> Store::open(const std::string& folder, const std::string& address,
+                                                   bool firstRun, bool seed, std::size_t mapBytes) {
+    if (::mkdir(folder.c_str(), 0755) != 0 && errno != EEXIST)
+        return turned(errno, "making the folder", folder);
+    const std::string path = absl::StrCat(folder, "/", kFile);
+    auto state = std::make_unique<State>();
+    state->mapBytes = mapBytes;
+    if (::access(path.c_str(), F_OK) != 0) {
+        if (errno != ENOENT) return turned(errno, "looking for it", path);
+        // Made whole under another name, so that a loss of power leaves all of it or nothing.
+        const std::string fresh = absl::StrCat(folder, "/", kFresh);
+        if (::unlink(fresh.c_str()) != 0 && errno != ENOENT)
+            return turned(errno, "removing what was begun", fresh);
+        state->path = fresh;
+        if (auto s = state->start(); !s.ok()) return s;
+        auto* self = state->head.mutable_self();
+        self->set_address(address);
+        if (!(firstRun && seed)) {
+            std::random_device device;
+            std::uint64_t number = 0;
+            while (number == 0) number = std::uint64_t{device()} << 32U | device();
+            self->set_number(number);
+        }
+        if (auto s = state->write({}); !s.ok()) return s;
+        state->shut();
+        if (::rename(fresh.c_str(), path.c_str()) != 0) return turned(errno, "naming it", path);
+        if (auto s = syncFolder(folder); !s.ok()) return s;
+    }
+    state->path = path;
+    if (auto s = state->start(); !s.ok()) return s;
+    if (auto s = state->beginFrom(); !s.ok()) return s;
+    if (state->head.self().address() != address)
+        return absl::FailedPreconditionError(absl::StrCat("the ledger at ", path, " is of the machine ",
+                                                          state->head.self().address(), ", not of ",
+                                                          address));
+    return std::unique_ptr<Store>(new Store(std::move(state)));
+}
+
+absl::StatusOr<Stored> Store::load() const { return state_->load(); }
+
+absl::Status Store::write(const Write& write) { return state_->write(write); }
+
+}  // namespace marldale::ledger
