--- /dev/null
+++ b/src/gateway/intake/client_connection.h
@@ -0,0 +1,110 @@
+// One connection of a client: reads a request, hands it to the door, writes the answer; one at a time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/intake/request_reader.h"
+#include "gateway/intake/timers.h"
+
+namespace marldale::intake {
+
+using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
+
+class ClientConnection;
+
+// Whom a listener's connections belong to.
+class Door {
+public:
+    virtual ~Door() = default;
+    // A whole request is there; it is answered now or later.
+    virtual void came(const std::shared_ptr<ClientConnection>& client) = 0;
+    // Its client has gone before it was answered: nothing can be written any more.
+    virtual void gone(ClientConnection& client) = 0;
+    // All that was written of a stream has left.
+    virtual void drained(ClientConnection& client) = 0;
+    // It is closed; called once.
+    virtual void closed(ClientConnection& client) = 0;
+    [[nodiscard]] virtual const manifold::Limits& limits() const = 0;
+    // Answers say that the connection is closed after them.
+    [[nodiscard]] virtual bool closing() const = 0;
+    // Bytes of bodies held in memory: false if that would be too much.
+    virtual bool hold(std::int64_t bytes) = 0;
+};
+
+// What a request has with the door while it is answered.
+struct Guest {
+    virtual ~Guest() = default;
+};
+
+class ClientConnection final : public std::enable_shared_from_this<ClientConnection>, private Timers::Item {
+public:
+    ClientConnection(Socket socket, Door& door, Timers& timers);
+    ~ClientConnection() override;
+
+    void start();
+    Request& request() { return reader_.request(); }
+    std::shared_ptr<Guest> guest;
+
+    // The answer whole. `head`: status line and fields, each with CRLF, without framing and without the empty
+    // line. `length`: of Content-Length; nothing where the status has none. The body may be shorter only for
+    // HEAD and 304.
+    void answer(std::string_view head, std::string_view body, std::optional<std::uint64_t> length);
+    // One of our own, without a body. `retryAfter` 0: none.
+    void answerOwn(unsigned status, Micros retryAfter = 0);
+    // An answer in pieces: with a length, or in chunks.
+    void begin(std::string_view head, std::optional<std::uint64_t> length);
+    void more(std::string_view bytes);
+    void end();
+    // An answer that has begun can't be ended: it must look cut.
+    void cut();
+    [[nodiscard]] std::size_t pending() const { return outNow_.size() - outFrom_ + outNext_.size(); }
+    [[nodiscard]] bool http10() { return reader_.request().http10; }
+
+    [[nodiscard]] bool idle() const {
+        return state_ == State::reading && reader_.state() == RequestReader::State::idle;
+    }
+    [[nodiscard]] bool isClosed() const { return state_ == State::closed; }
+    void close();
+
+private:
+    enum class State { reading, serving, answering, lingering, closed };
+
+    void due(Micros now) override;
+    void read();
+    void onRead(const boost::system::error_code& error, std::size_t bytes);
+    void process(Micros now);
+    void send(std::string_view head, std::string_view body);
+    void flush();
+    void flushed();
+    void wrote(const boost::system::error_code& error, std::size_t bytes);
+    void afterAnswer();
+    void fault(unsigned status, Micros retryAfter = 0);
+    void appendEnd(std::string& head);
+    void linger();
+    void release();
+
+    Socket socket_;
+    Door& door_;
+    RequestReader reader_;
+    State state_ = State::reading;
+    std::string in_;  // its size is the room for reading
+    std::size_t inFrom_ = 0, inTo_ = 0;
+    bool reading_ = false, peerDone_ = false;
+    std::string outNow_, outNext_;  // what is being written, and what follows
+    std::size_t outFrom_ = 0;
+    bool writing_ = false;
+    bool answered_ = false;  // all of the answer was given to `send`
+    bool keep_ = false;      // the connection stays after this answer
+    bool unread_ = false;    // there may be bytes of the request that nobody reads
+    bool chunked_ = false;
+    bool continueSent_ = false;
+    std::int64_t held_ = 0;
+};
+
+[[nodiscard]] std::string_view reason(unsigned status);
+
+}  // namespace marldale::intake
--- /dev/null
+++ b/src/gateway/intake/listener.h
@@ -0,0 +1,43 @@
+// Accepts connections for a door.
+#pragma once
+
+#include <absl/status/status.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/intake/client_connection.h"
+
+namespace marldale::intake {
+
+// "10.1.0.34:8548". Nothing if it isn't one.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> readEndpoint(std::string_view text);
+
+class Listener : private Timers::Item {
+public:
+    // `mayAccept`: whether there is room for one more; where there is not, it is closed at once.
+    Listener(boost::asio::io_context& loop, Timers& timers, Door& door, std::function<bool()> mayAccept,
+             std::function<void(const std::shared_ptr<ClientConnection>&)> accepted);
+    // Invalid argument: no address. Unavailable: it can't be listened on.
+    absl::Status listen(const std::string& address);
+    void close();
+    [[nodiscard]] unsigned short port() const;
+
+private:
+    using Acceptor =
+        boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
+    void due(Micros now) override;
+    void accept();
+
+    boost::asio::io_context& loop_;
+    Timers& timers_;
+    Door& door_;
+    std::function<bool()> mayAccept_;
+    std::function<void(const std::shared_ptr<ClientConnection>&)> accepted_;
+    Acceptor acceptor_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace marldale::intake
--- /dev/null
+++ b/tests/gateway/sluice_support.h
@@ -0,0 +1,317 @@
+// A carrier on loopback, servers that do as they are told, and clients: all on one loop.
+#pragma once
+
+#include <utility>  // Asio of Boost 1.74 forgets it
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/sluice/carrier.h"
+
+namespace marldale::sluice {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+struct Seen {
+    std::string text;  // head and body as they came
+    std::string id, meant;
+    unsigned onConnection = 0;  // requests on this connection before
+};
+
+// What a server does with a request.
+struct Does {
+    std::string bytes;
+    enum class Then { keep, close, reset, nothing } then = Then::keep;
+};
+
+inline std::string fieldOf(const std::string& head, const std::string& name) {
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return {};
+    const std::size_t from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
+}
+
+inline std::string good(const std::string& id, const std::string& body = "hello",
+                        const std::string& more = {}) {
+    return "HTTP/1.1 200 OK\r\nX-Try-Id: " + id + "\r\nX-Server-Seal: s." + id + "\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class StandIn {
+public:
+    StandIn(asio::io_context& loop, std::string id)
+        : id(std::move(id)), acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+        accept();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+    std::function<Does(const Seen&)> script = [](const Seen& seen) { return Does{good(seen.id)}; };
+    std::vector<Seen> seen;
+    unsigned connections = 0;
+    const std::string id;
+    void shut() {
+        boost::system::error_code error;
+        acceptor_.close(error);
+    }
+
+private:
+    struct One : std::enable_shared_from_this<One> {
+        One(StandIn& of, tcp::socket&& from) : server(of), socket(std::move(from)) {}
+        void read() {
+            socket.async_read_some(asio::buffer(room),
+                                   [self = shared_from_this()](const auto& error, std::size_t n) {
+                                       if (error) return;
+                                       self->in.append(self->room.data(), n);
+                                       self->look();
+                                       self->read();
+                                   });
+        }
+        void look() {
+            for (;;) {
+                const std::size_t head = in.find("\r\n\r\n");
+                if (head == std::string::npos) return;
+                const std::string length = fieldOf(in.substr(0, head + 2), "Content-Length");
+                const std::size_t whole = head + 4 + (length.empty() ? 0 : std::stoul(length));
+                if (in.size() < whole) return;
+                Seen seen{in.substr(0, whole), fieldOf(in.substr(0, head + 2), "X-Try-Id"),
+                          fieldOf(in.substr(0, head + 2), "X-Meant-Server"), requests++};
+                in.erase(0, whole);
+                server.seen.push_back(seen);
+                const Does does = server.script(seen);
+                boost::system::error_code error;
+                socket.non_blocking(false, error);
+                asio::write(socket, asio::buffer(does.bytes), error);
+                if (does.then == Does::Then::close) socket.close(error);
+                if (does.then == Does::Then::reset) {
+                    socket.set_option(asio::socket_base::linger(true, 0), error);
+                    socket.close(error);
+                }
+            }
+        }
+        StandIn& server;
+        tcp::socket socket;
+        std::array<char, 65536> room{};
+        std::string in;
+        unsigned requests = 0;
+    };
+    void accept() {
+        acceptor_.async_accept([this](const auto& error, tcp::socket socket) {
+            if (error) return;
+            ++connections;
+            std::make_shared<One>(*this, std::move(socket))->read();
+            accept();
+        });
+    }
+    tcp::acceptor acceptor_;
+};
+
+// What came back on a client's connection.
+struct Reply {
+    unsigned status = 0;  // 0: nothing that is an answer
+    std::string head, body;
+    bool whole = false;
+    bool closed = false;
+};
+
+struct World {
+    asio::io_context loop{1};
+    manifold::Tables tables;
+    CarrierSettings settings;
+    std::unique_ptr<Carrier> carrier;
+    std::vector<std::unique_ptr<StandIn>> servers;
+    std::uint64_t mark = 0;
+
+    World() {
+        settings.front = settings.readiness = "127.0.0.1:0";
+        settings.extraTries = 4000;
+    }
+    StandIn& server(const std::string& id) {
+        servers.push_back(std::make_unique<StandIn>(loop, id));
+        return *servers.back();
+    }
+    static Micros now() {
+        return std::chrono::duration_cast<std::chrono::microseconds>(
+                   std::chrono::steady_clock::now().time_since_epoch())
+            .count();
+    }
+    static proto::RouteLine* route(proto::Orders& orders, const std::string& start,
+                                   proto::RouteLine::Kind kind, const std::string& service,
+                                   unsigned tries = 2, Micros target = 400000, Micros giveUp = 2000000) {
+        auto* line = orders.add_lines()->mutable_route();
+        line->set_name("r");
+        line->set_host_name("a.example");
+        line->set_path_start(start);
+        line->set_kind(kind);
+        line->set_target(target);
+        line->set_give_up(giveUp);
+        line->set_tries(tries);
+        auto* share = line->add_shares();
+        share->set_service(service);
+        share->set_share(1);
+        return line;
+    }
+    // Routes /r/ (read-only), /w/ (writing) and /d/ (downloads) to the service "s", with all servers.
+    proto::Orders orders() {
+        proto::Orders orders;
+        orders.set_index(1);
+        orders.set_fresh(true);
+        orders.set_servers_whole(true);
+        route(orders, "/r/", proto::RouteLine::READ_ONLY, "s");
+        route(orders, "/w/", proto::RouteLine::WRITING, "s");
+        route(orders, "/d/", proto::RouteLine::FETCH_DOWN, "s");
+        auto* limits = orders.add_lines()->mutable_limits();
+        limits->set_max_header_bytes(4096);
+        limits->set_max_body_bytes(8 << 20);
+        limits->set_header_wait(200000);
+        limits->set_quiet(5000000);
+        for (const auto& one : servers) serverLine(orders, *one);
+        return orders;
+    }
+    static proto::ServerLine* serverLine(proto::Orders& orders, const StandIn& one) {
+        auto* line = orders.add_lines()->mutable_server();
+        line->set_id(one.id);
+        line->set_service("s");
+        line->set_address(one.address());
+        line->set_zone("z");
+        return line;
+    }
+    void start() { start(orders()); }
+    void start(const proto::Orders& orders) {
+        carrier = std::make_unique<Carrier>(loop, settings, tables);
+        REQUIRE(carrier->listen().ok());
+        REQUIRE(tables.obey(orders, now()));
+        carrier->tablesChanged();
+    }
+    void obey(const proto::Orders& orders) {
+        REQUIRE(tables.obey(orders, now()));
+        carrier->tablesChanged();
+    }
+    // Runs the loop until this holds; false after so many milliseconds.
+    bool until(const std::function<bool()>& holds, int most = 5000) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(most);
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+    void turn(int milliseconds = 3) {
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(milliseconds));
+    }
+};
+
+class Client {
+public:
+    explicit Client(World& world) : Client(world, world.carrier->frontPort()) {}
+    Client(World& world, unsigned short port) : world_(world), socket_(own_) {
+        socket_.connect(tcp::endpoint(asio::ip::address_v4::loopback(), port));
+        socket_.non_blocking(true);
+    }
+    void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+    // The next answer, or what there is of it when the connection ends.
+    Reply read(bool headOnly = false, int most = 5000) {
+        Reply reply;
+        world_.until([&] { return take(reply, headOnly) || closed_; }, most);
+        reply.closed = closed_;
+        if (!reply.whole) {
+            const std::size_t head = in_.find("\r\n\r\n");
+            if (head != std::string::npos) {
+                reply.head = in_.substr(0, head + 2);
+                reply.status = static_cast<unsigned>(std::stoul(in_.substr(9, 3)));
+                reply.body = in_.substr(head + 4);
+            }
+        }
+        return reply;
+    }
+    Reply ask(const std::string& bytes) {
+        send(bytes);
+        return read();
+    }
+    bool waitClosed(int most = 3000) {
+        return world_.until(
+            [&] {
+                pull();
+                return closed_;
+            },
+            most);
+    }
+    void close() { socket_.close(); }
+    void reset() {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    std::string rest() { return in_; }
+    void slow(bool is) { slow_ = is; }
+
+private:
+    void pull() {
+        if (slow_) return;
+        std::array<char, 65536> room{};
+        boost::system::error_code error;
+        for (;;) {
+            const std::size_t n = socket_.read_some(asio::buffer(room), error);
+            if (error == asio::error::would_block) return;
+            if (error) {
+                closed_ = true;
+                return;
+            }
+            in_.append(room.data(), n);
+        }
+    }
+    bool take(Reply& reply, bool headOnly) {
+        pull();
+        const std::size_t head = in_.find("\r\n\r\n");
+        if (head == std::string::npos) return false;
+        const std::string start = in_.substr(0, head + 2);
+        std::size_t end = 0;
+        std::string body;
+        if (fieldOf(start, "Transfer-Encoding") == "chunked") {
+            std::size_t at = head + 4;
+            for (;;) {
+                const std::size_t line = in_.find("\r\n", at);
+                if (line == std::string::npos) return false;
+                const std::size_t size = std::stoul(in_.substr(at, line - at), nullptr, 16);
+                if (in_.size() < line + 2 + size + 2) return false;
+                body.append(in_, line + 2, size);
+                at = line + 2 + size + 2;
+                if (size == 0) break;
+            }
+            end = at;
+        } else {
+            const std::string length = fieldOf(start, "Content-Length");
+            const std::size_t size = headOnly || length.empty() ? 0 : std::stoul(length);
+            end = head + 4 + size;
+            if (in_.size() < end) return false;
+            body = in_.substr(head + 4, size);
+        }
+        reply.status = static_cast<unsigned>(std::stoul(start.substr(9, 3)));
+        reply.head = start;
+        reply.body = std::move(body);
+        reply.whole = true;
+        in_.erase(0, end);
+        return true;
+    }
+    World& world_;
+    asio::io_context own_;
+    tcp::socket socket_;
+    std::string in_;
+    bool closed_ = false, slow_ = false;
+};
+
+inline std::string get(const std::string& path, const std::string& id, const std::string& more = {}) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: " + id + "\r\nX-Time-Left: 2000\r\n" +
+           more + "\r\n";
+}
+inline std::string post(const std::string& path, const std::string& id, const std::string& body = "b=1") {
+    return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: " + id +
+           "\r\nX-Time-Left: 2000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace marldale::sluice
