Views: word that is passed on ages with each hand

Cause: an entry of the oldest age was handed round among processes just after their own turn, so the dead never went (a test of lossy shuffles found it).

Change: one more with each hand.

--- a/src/gateway/confluence/view.cpp
+++ b/src/gateway/confluence/view.cpp
@@ -72,8 +72,11 @@
 
 void View::take(const proto::Peer& peer) {
     if (peer.address().empty() || peer.address() == self_.address() || peer.age() > settings_.ageMost) return;
-    const auto [at, fresh] = peers_.try_emplace(peer.address(), peer);
-    if (!fresh && peer.age() < at->second.age()) at->second = peer;
+    // Word that is passed on ages with each hand, or the dead would be handed round for ever.
+    proto::Peer older = peer;
+    older.set_age(peer.age() + 1);
+    const auto [at, fresh] = peers_.try_emplace(peer.address(), older);
+    if (!fresh && older.age() < at->second.age()) at->second = older;
 }
 
 void View::trim() {
