Ledger: deterministic world of replicas; a new term clears what the old one's leader said

Change: the world (links, disks, clients, troubles from one seed) with its checks from outside; both mended.

--- a/src/gateway/ledger/replica.cpp
+++ b/src/gateway/ledger/replica.cpp
@@ -265,7 +265,7 @@
     }
     [[nodiscard]] bool majority(const std::set<Key>& who) const {
         return reached([&](const Member& m) {
-                   if (settings.faults.countsVotesByAddress) {
+                   if (settings.faults.ignoresNumbers) {
                        const auto near = who.lower_bound({m.address(), 0});
                        return near != who.end() && near->first == m.address() ? 1 : 0;
                    }
@@ -331,22 +331,23 @@
     }
 
     // ---- roles ----
+    void enter(Term newTerm) {
+        term = newTerm;
+        voted.reset();
+        hardDirty = true;
+        leader.reset();
+        // What was held back was promised in an earlier term; entries behind it may be cut by now.
+        held.clear();
+        matched = commit;
+        heardRound = answeredRound = 0;
+        answeredMatch = acceptedPrev = 0;
+        owes = refusedLast = false;
+        refusal.reset();
+    }
     void follow(Term newTerm) {
         check(newTerm >= term, "the term would go back");
         const Role was = role;
-        if (newTerm > term) {
-            term = newTerm;
-            voted.reset();
-            hardDirty = true;
-            leader.reset();
-            // What was held back was promised in an earlier term; entries behind it may be cut by now.
-            held.clear();
-            matched = commit;
-            heardRound = answeredRound = 0;
-            answeredMatch = acceptedPrev = 0;
-            owes = refusedLast = false;
-            refusal.reset();
-        }
+        if (newTerm > term) enter(newTerm);
         role = Role::follower;
         if (was == Role::leader) {
             for (const auto& r : reads) out.reads.push_back({r.ticket, false, 0});
@@ -373,14 +374,8 @@
     }
     void campaign(bool handedOver) {
         role = Role::candidate;
-        leader.reset();
-        ++term;
+        enter(term + 1);
         voted = self;
-        hardDirty = true;
-        held.clear();
-        refusal.reset();
-        owes = false;
-        matched = commit;
         electionDue = now + between(settings.electionLeast / 2, settings.electionLeast);
         granted.clear();
         // Asked for only once the own vote is on disk, which then counts.
@@ -598,7 +593,8 @@
     void sendAppend(Peer& p, bool entries) {
         if (p.flow != Flow::install && p.next - 1 < base) {
             if (p.installAt > 0 && now - p.installAt < kInstallAgain) {
-                entries = false;  // not so soon again; the beat goes on below
+                p.probe(p.next);  // not so soon again; the beat goes on below
+                entries = false;
             } else {
                 p.flow = Flow::install;
                 p.waiting = false;
@@ -704,7 +700,7 @@
         const auto kind = m.kind();
         if (m.from().address() == self.address()) return;  // of its own, or of an earlier self
         if (kind == LedgerMessage::JOIN) return hearJoin(m);
-        if (!same(m.to(), self)) return;
+        if (!same(m.to(), self) && !settings.faults.ignoresNumbers) return;
         switch (kind) {
             case LedgerMessage::PRE_VOTE: return hearPreVote(m);
             case LedgerMessage::PRE_VOTE_ANSWER: return hearPreVoteAnswer(m);
--- a/src/gateway/ledger/replica.h
+++ b/src/gateway/ledger/replica.h
@@ -38,7 +38,7 @@
     bool votesForShorterLogs = false;
     bool changesAtOnce = false;        // members change though the last change isn't committed
     bool forgetsOutgoing = false;      // the old members' majority isn't asked for
-    bool countsVotesByAddress = false; // whatever the number
+    bool ignoresNumbers = false;       // a member is told by its address alone
     bool trustsArrival = false;        // `sureAge` counts from when word arrived
 };
 
--- /dev/null
+++ b/tests/gateway/world.h
@@ -0,0 +1,780 @@
+// A deployment's replicas in one process: virtual time, links, disks, clients, and a plan of troubles, all from one
+// seed. What must hold is checked from outside, by what clients and disks see; a broken rule throws `Broken`.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bytes/mix.h"
+#include "gateway/ledger/replica.h"
+
+namespace marldale::ledger::world {
+
+struct Broken : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Random {
+    std::uint64_t state;
+    std::uint64_t draw() { return bytes::mixed(state += 0x9e3779b97f4a7c15ULL); }
+    std::uint64_t below(std::uint64_t n) { return draw() % n; }
+    Micros between(Micros least, Micros most) {
+        return least + static_cast<Micros>(below(static_cast<std::uint64_t>(most - least + 1)));
+    }
+    bool chance(double p) { return static_cast<double>(draw() >> 11U) * 0x1p-53 < p; }
+};
+
+inline constexpr Micros kMs = 1000, kSecond = 1000000;
+
+struct Plan {
+    std::uint64_t seed = 1;
+    Faults faults;
+    bool wipedKeepsNumber = false;  // a machine that lost its disk says it is the seed it was
+    Micros troubles = 20 * kSecond;
+    Micros calm = 12 * kSecond;
+    std::size_t machines = 0;       // 0: drawn
+};
+
+struct Figures {
+    std::uint64_t acknowledged = 0, refused = 0, unclear = 0, reads = 0, messages = 0, writes = 0, elections = 0;
+    std::uint64_t wipes = 0, kills = 0, powerLosses = 0, installs = 0, changes = 0;
+    Micros calmToAck = 0;  // the longest from calm to the first acknowledgement
+    Micros calmToAll = 0;  // and to all machines having applied it
+    void add(const Figures& o) {
+        acknowledged += o.acknowledged, refused += o.refused, unclear += o.unclear, reads += o.reads;
+        messages += o.messages, writes += o.writes, elections += o.elections, wipes += o.wipes, kills += o.kills;
+        powerLosses += o.powerLosses, installs += o.installs, changes += o.changes;
+        calmToAck = std::max(calmToAck, o.calmToAck);
+        calmToAll = std::max(calmToAll, o.calmToAll);
+    }
+};
+
+class World {
+public:
+    explicit World(Plan plan) : plan_(plan), random_{bytes::mixed(plan.seed)} {
+        onBreach([](const char* sentence) { throw Broken(sentence); });
+        static constexpr std::size_t kSizes[] = {1, 2, 3, 3, 3, 3, 3, 4, 4, 4, 4, 4, 5, 5, 5, 5, 6, 7, 7, 7};
+        size_ = plan.machines != 0 ? plan.machines : kSizes[random_.below(std::size(kSizes))];
+        survive_ = size_ < 3 ? 0 : size_ < 7 ? 1 : 2;
+        bounded_ = random_.chance(0.5);
+        rough_ = !bounded_ && random_.chance(0.2);
+        compactEvery_ = 5 + random_.below(80);
+        settings_.faults = plan.faults;
+        settings_.silentFor = random_.chance(0.5) ? 4 * kSecond : 20 * kSecond;
+        pace_ = random_.between(300 * kMs, 2500 * kMs);
+        const std::size_t spare = size_ >= 3 && random_.chance(0.25) ? 2 : 0;
+        machines_.resize(size_ + spare);
+        links_.resize(machines_.size() * machines_.size());
+        for (std::size_t k = 0; k < machines_.size(); ++k) {
+            auto& m = machines_[k];
+            m.address = "m" + std::to_string(k);
+            m.disk.self.set_address(m.address);
+            if (k < std::min<std::size_t>(3, size_)) {
+                settings_.seeds.push_back(m.address);
+            } else {
+                m.disk.self.set_number(number());
+            }
+            m.syncTime = random_.chance(0.5) ? 500 : 2000;
+        }
+        for (std::size_t k = 0; k < size_; ++k) {
+            machines_[k].there = true;
+            at(random_.between(0, 500 * kMs), Kind::start, k);
+        }
+    }
+
+    // One history. Throws `Broken`.
+    Figures run() {
+        const Micros quiet = 6 * kSecond;  // to form
+        calmAt_ = quiet + plan_.troubles;
+        at(kSecond, Kind::client, 0);
+        at(kSecond, Kind::reader, 0);
+        at(quiet, Kind::trouble, 0);
+        at(calmAt_, Kind::calm, 0);
+        const Micros end = calmAt_ + plan_.calm;
+        while (!events_.empty() && events_.top().when <= end) {
+            expect(figures_.messages < 2000000, "a storm of messages");
+            const Event e = events_.top();
+            events_.pop();
+            now_ = e.when;
+            handle(e);
+        }
+        now_ = end;
+        finish();
+        return figures_;
+    }
+
+    [[nodiscard]] std::string about() const {
+        return "seed " + std::to_string(plan_.seed) + ", " + std::to_string(size_) + " machines, " +
+               (bounded_ ? "losses as promised" : rough_ ? "wild, datagrams" : "wild") + ", at " + std::to_string(now_) + " us";
+    }
+
+private:
+    enum class Kind { start, tick, turn, deliver, diskDone, client, reader, trouble, calm, kill, thaw };
+    struct Event {
+        Micros when;
+        std::uint64_t order;
+        Kind kind;
+        std::size_t machine;
+        std::uint64_t life;   // of the machine, if it matters
+        std::uint64_t link, epoch, slot;
+        bool operator<(const Event& o) const { return when != o.when ? when > o.when : order > o.order; }
+    };
+    struct Link {
+        Micros cutUntil = 0;
+        bool holdsUp = false;  // what is sent over a cut comes later; otherwise it is lost
+        Micros lastAt = 0;
+        Micros slow = 0;
+        Micros slowUntil = 0;
+        std::uint64_t epoch = 0;
+    };
+    struct Proposal {
+        Term term;
+        std::uint64_t id;
+    };
+    struct Machine {
+        std::string address;
+        bool there = false, up = false;
+        std::uint64_t life = 0;
+        Stored disk;
+        std::unique_ptr<Replica> replica;
+        Index applied = 0;
+        std::uint64_t version = 0;
+        std::map<Index, Proposal> proposals;
+        std::map<std::uint64_t, Index> reads;  // by ticket: what was acknowledged when it was asked
+        std::vector<Write> writing;
+        Micros syncTime = 500;
+        Micros fullUntil = 0, stallUntil = 0, frozenUntil = 0;
+        Micros tickAt = -1, turnAt = -1;
+        Micros lostUntil = 0;
+        bool wipeAtAck = false, killAtAck = false;
+    };
+
+    Plan plan_;
+    Random random_;
+    Settings settings_;
+    std::size_t size_ = 0, survive_ = 0;
+    bool tracing_ = std::getenv("MARLDALE_LEDGER_TRACE") != nullptr;
+    bool bounded_ = false, rough_ = false, isCalm_ = false;
+    std::uint64_t compactEvery_ = 50;
+    Micros pace_ = kSecond;
+    Micros now_ = 0, calmAt_ = 0;
+    std::uint64_t order_ = 0, lastId_ = 0, lastTicket_ = 0;
+    std::priority_queue<Event> events_;
+    std::vector<Machine> machines_;
+    std::vector<Link> links_;
+    std::vector<proto::LedgerMessage> slots_;
+    std::vector<std::size_t> freeSlots_;
+    Figures figures_;
+
+    // What is known from outside.
+    struct Applied {
+        std::uint64_t hash, version;
+    };
+    std::vector<Applied> truth_{{0, 0}};              // by index
+    std::map<std::uint64_t, std::uint64_t> ackedIds_;  // by version
+    std::vector<std::pair<Micros, Index>> acked_;      // times and highest indexes, both rising
+    std::map<Term, proto::Member> leaders_;
+    std::set<std::pair<std::string, std::uint64_t>> dead_;  // identities whose disk is gone
+    Micros troubledAt_ = 0;                             // when troubles last began or ended
+    std::optional<Micros> firstCalmAck_;
+    Index firstCalmIndex_ = 0;
+    std::optional<Micros> allCalm_;
+
+    static void expect(bool holds, const std::string& sentence) {
+        if (!holds) throw Broken(sentence);
+    }
+    std::uint64_t number() {
+        std::uint64_t n = 0;
+        while (n == 0) n = random_.draw();
+        return n;
+    }
+    void at(Micros when, Kind kind, std::size_t machine, std::uint64_t link = 0, std::uint64_t epoch = 0, std::uint64_t slot = 0) {
+        events_.push({std::max(when, now_), ++order_, kind, machine, machines_[machine].life, link, epoch, slot});
+    }
+    Link& link(std::size_t from, std::size_t to) { return links_[from * machines_.size() + to]; }
+    std::size_t indexOf(const std::string& address) const { return std::stoul(address.substr(1)); }
+
+    void handle(const Event& e) {
+        auto& m = machines_[e.machine];
+        const bool ofProcess = e.kind == Kind::tick || e.kind == Kind::turn || e.kind == Kind::diskDone;
+        if (ofProcess && (e.life != m.life || !m.up)) return;
+        if ((ofProcess || e.kind == Kind::deliver) && m.up && now_ < m.frozenUntil) {
+            Event later = e;
+            later.when = m.frozenUntil;
+            later.order = ++order_;
+            if (e.kind == Kind::tick && m.tickAt == e.when) m.tickAt = later.when;
+            if (e.kind == Kind::turn && m.turnAt == e.when) m.turnAt = later.when;
+            events_.push(later);
+            return;
+        }
+        switch (e.kind) {
+            case Kind::start: return start(e.machine);
+            case Kind::tick:
+                if (m.tickAt != e.when) return;
+                m.tickAt = -1;
+                m.replica->tick(now_);
+                return turn(e.machine);
+            case Kind::turn:
+                m.turnAt = -1;
+                return turn(e.machine);
+            case Kind::deliver: return deliver(e);
+            case Kind::diskDone: return diskDone(e.machine);
+            case Kind::client: return client();
+            case Kind::reader: return reader();
+            case Kind::trouble: return trouble();
+            case Kind::calm: return calm();
+            case Kind::kill:
+                if (e.life == m.life && m.up) kill(e.machine, false);
+                return;
+            case Kind::thaw: troubledAt_ = now_; return;
+        }
+    }
+
+    void trace(std::size_t k, const std::string& what) const {
+        if (!tracing_) return;
+        const auto& m = machines_[k];
+        std::fprintf(stderr, "%9.4f m%zu %s", static_cast<double>(now_) * 1e-6, k, what.c_str());
+        if (m.up)
+            std::fprintf(stderr, "  [%s term %lu commit %lu]", m.replica->leads() ? "leads" : "", m.replica->term(), m.replica->committed());
+        std::fprintf(stderr, "\n");
+    }
+    static std::string told(const proto::LedgerMessage& m) {
+        static constexpr const char* kNames[] = {"PRE_VOTE", "PRE_VOTE_ANSWER", "VOTE", "VOTE_ANSWER", "APPEND", "APPEND_ANSWER",
+                                                 "INSTALL", "INSTALL_ANSWER", "JOIN", "HAND_OVER"};
+        return std::string(kNames[m.kind()]) + " " + m.from().address() + "/" + std::to_string(m.from().number() % 1000) + ">" +
+               m.to().address() + "/" + std::to_string(m.to().number() % 1000) + " term " + std::to_string(m.term()) + " last " +
+               std::to_string(m.last_index()) + "/" + std::to_string(m.last_term()) + " entries " + std::to_string(m.entries_size()) +
+               " commit " + std::to_string(m.commit()) + (m.granted() ? " yes" : "") + " match " + std::to_string(m.match()) + " round " +
+               std::to_string(m.round()) + (m.has_snapshot() ? " snapshot " + std::to_string(m.snapshot().index()) : "");
+    }
+
+    // ---- processes ----
+    void start(std::size_t k) {
+        auto& m = machines_[k];
+        if (m.up || !m.there) return;
+        troubledAt_ = now_;
+        ++m.life;
+        m.up = true;
+        m.frozenUntil = 0;
+        auto settings = settings_;
+        settings.seed = random_.draw();
+        m.replica = std::make_unique<Replica>(settings, m.disk, now_);
+        std::vector<std::string> contacts;
+        for (std::size_t o = 0; o < machines_.size(); ++o)
+            if (o != k && machines_[o].there) contacts.push_back(machines_[o].address);
+        m.replica->contacts(contacts);
+        trace(k, "starts");
+        m.applied = 0;
+        m.version = 0;
+        m.tickAt = m.turnAt = -1;
+        soon(k);
+    }
+    // The process ends; with power lost, what is on its way from it may be lost as well.
+    void kill(std::size_t k, bool power) {
+        auto& m = machines_[k];
+        if (!m.up) return;
+        troubledAt_ = now_;
+        trace(k, power ? "loses power" : "is killed");
+        ++(power ? figures_.powerLosses : figures_.kills);
+        m.up = false;
+        ++m.life;
+        m.replica.reset();
+        figures_.unclear += m.proposals.size();
+        m.proposals.clear();
+        m.reads.clear();
+        // One write is under way: all of it is there, or nothing.
+        if (!m.writing.empty() && random_.chance(0.5)) put(m.disk, m.writing.front());
+        m.writing.clear();
+        m.stallUntil = 0;
+        const bool lose = random_.chance(power ? 0.8 : 0.2);
+        for (std::size_t o = 0; o < machines_.size(); ++o) {
+            ++link(o, k).epoch;
+            if (lose) ++link(k, o).epoch;
+        }
+    }
+    void wipe(std::size_t k) {
+        auto& m = machines_[k];
+        kill(k, true);
+        ++figures_.wipes;
+        const bool keeps = plan_.wipedKeepsNumber && m.disk.self.number() == 0;
+        if (!keeps) dead_.insert({m.address, m.disk.self.number()});
+        m.disk = {};
+        m.disk.self.set_address(m.address);
+        m.disk.self.set_number(keeps ? 0 : number());
+    }
+    static void put(Stored& disk, const Write& w) {
+        if (w.hard) {
+            expect(w.term >= disk.term, "a term on disk goes back");
+            expect(w.term > disk.term || !disk.voted || (w.voted && w.voted->SerializeAsString() == disk.voted->SerializeAsString()),
+                   "a vote on disk changes");
+            disk.term = w.term;
+            disk.voted = w.voted;
+        }
+        auto& entries = disk.entries;
+        if (w.cutFrom)
+            while (!entries.empty() && entries.back().index() >= *w.cutFrom) entries.pop_back();
+        if (w.snapshot) {
+            const auto keep = std::find_if(entries.begin(), entries.end(), [&](const auto& e) { return e.index() > w.snapshot->index(); });
+            entries.erase(entries.begin(), keep);
+            disk.snapshot = *w.snapshot;
+        }
+        for (const auto& e : w.entries) {
+            const Index last = entries.empty() ? disk.snapshot.index() : entries.back().index();
+            expect(e.index() == last + 1, "a write leaves a gap on disk");
+            entries.push_back(e);
+        }
+        expect(entries.empty() || entries.front().index() == disk.snapshot.index() + 1, "a gap behind a snapshot on disk");
+    }
+    void soon(std::size_t k) {
+        auto& m = machines_[k];
+        if (m.turnAt >= 0) return;
+        m.turnAt = now_ + random_.between(0, 300);
+        at(m.turnAt, Kind::turn, k);
+    }
+    void turn(std::size_t k) {
+        auto& m = machines_[k];
+        Ready ready = m.replica->take();
+        for (auto& message : ready.messages) send(k, std::move(message));
+        for (auto& w : ready.writes) {
+            ++figures_.writes;
+            m.writing.push_back(std::move(w));
+            if (m.writing.size() == 1) beginWrite(k);
+        }
+        if (ready.install) install(m, *ready.install);
+        for (const auto& e : ready.committed) apply(k, e);
+        if (!m.up) return;  // killed as it acknowledged
+        for (const auto& r : ready.reads) {
+            const auto asked = m.reads.find(r.ticket);
+            expect(asked != m.reads.end(), "a read ends twice");
+            if (r.sure) {
+                ++figures_.reads;
+                expect(r.index >= asked->second, "a read is older than what was acknowledged before it");
+                expect(m.applied >= r.index, "a read is of what isn't applied yet");
+            }
+            m.reads.erase(asked);
+        }
+        if (m.replica->leads()) {
+            const auto [where, fresh] = leaders_.try_emplace(m.replica->term(), m.replica->self());
+            if (fresh) ++figures_.elections;
+            expect(fresh || where->second.SerializeAsString() == m.replica->self().SerializeAsString(), "two lead in one term");
+        }
+        const Micros age = m.replica->sureAge(now_);
+        if (age >= 0) expect(m.applied >= ackedBy(now_ - age), "a replica is sure of what it hasn't heard");
+        if (m.applied >= m.disk.snapshot.index() + compactEvery_ && m.applied > 0 && random_.chance(0.3)) {
+            const Index through = m.applied;
+            m.replica->compact(now_, through, std::to_string(m.version));
+            soon(k);
+        }
+        const Micros due = m.replica->nextDue();
+        if (due < std::numeric_limits<Micros>::max() && (m.tickAt < 0 || due < m.tickAt)) {
+            m.tickAt = std::max(due, now_ + 1) + random_.between(0, 2000);
+            at(m.tickAt, Kind::tick, k);
+        }
+        if (isCalm_ && firstCalmAck_ && !allCalm_ &&
+            std::all_of(machines_.begin(), machines_.end(), [&](const Machine& o) { return !o.there || o.applied >= firstCalmIndex_; })) {
+            allCalm_ = now_;
+            figures_.calmToAll = now_ - calmAt_;
+        }
+    }
+
+    // ---- state machine ----
+    void install(Machine& m, const proto::Snapshot& s) {
+        ++figures_.installs;
+        expect(s.index() < truth_.size(), "a snapshot of what nobody has applied");
+        m.applied = s.index();
+        m.version = std::stoull(s.data());
+        expect(truth_[s.index()].version == m.version, "a snapshot differs from what was applied");
+    }
+    void apply(std::size_t k, const proto::Entry& e) {
+        auto& m = machines_[k];
+        expect(e.index() == m.applied + 1, "what is applied has a gap");
+        bool accepted = false;
+        std::uint64_t id = 0;
+        if (e.kind() == proto::Entry::CHANGE) {
+            const auto comma = e.data().find(',');
+            id = std::stoull(e.data());
+            accepted = std::stoull(e.data().substr(comma + 1)) == m.version;
+            if (accepted) ++m.version;
+        }
+        if (e.kind() == proto::Entry::MEMBERS) ++figures_.changes;
+        m.applied = e.index();
+        const std::uint64_t hash = bytes::mixed(e.term() * 31 + id) ^ static_cast<std::uint64_t>(e.kind());
+        if (e.index() == truth_.size()) truth_.push_back({hash, m.version});
+        expect(truth_[e.index()].hash == hash && truth_[e.index()].version == m.version, "two machines have applied different entries");
+        const auto mine = m.proposals.find(e.index());
+        if (mine == m.proposals.end()) return;
+        const Proposal p = mine->second;
+        m.proposals.erase(mine);
+        if (p.term != e.term()) {
+            ++figures_.unclear;
+            return;
+        }
+        if (!accepted) {
+            ++figures_.refused;
+            return;
+        }
+        ++figures_.acknowledged;
+        const auto [where, fresh] = ackedIds_.try_emplace(m.version, p.id);
+        expect(fresh || where->second == p.id, "two changes on one version are both acknowledged");
+        acked_.emplace_back(now_, std::max(e.index(), acked_.empty() ? 0 : acked_.back().second));
+        if (isCalm_ && !firstCalmAck_) {
+            firstCalmAck_ = now_;
+            firstCalmIndex_ = e.index();
+            figures_.calmToAck = now_ - calmAt_;
+        }
+        if (std::exchange(m.wipeAtAck, false) && mayWipe(k)) {
+            wipe(k);
+            later(k, 500 * kMs, 4 * kSecond);
+        } else if (std::exchange(m.killAtAck, false)) {
+            kill(k, random_.chance(0.7));
+            later(k, 200 * kMs, 2 * kSecond);
+        }
+    }
+    // The highest index that was acknowledged by then.
+    [[nodiscard]] Index ackedBy(Micros when) const {
+        const auto after = std::upper_bound(acked_.begin(), acked_.end(), when,
+                                            [](Micros w, const auto& a) { return w < a.first; });
+        return after == acked_.begin() ? 0 : std::prev(after)->second;
+    }
+
+    // ---- links ----
+    void send(std::size_t from, proto::LedgerMessage message) {
+        if (!machines_[from].up) return;
+        const std::size_t to = indexOf(message.to().address());
+        if (to == from || !machines_[to].there) return;
+        ++figures_.messages;
+        if (tracing_) trace(from, "says  " + told(message));
+        auto& l = link(from, to);
+        if (now_ < l.cutUntil && !l.holdsUp) return;
+        if (rough_ && !isCalm_ && random_.chance(0.03)) return;
+        Micros when = std::max(now_, l.holdsUp ? l.cutUntil : 0) + random_.between(700, 1600);
+        if (now_ < l.slowUntil) when += l.slow + random_.between(0, l.slow / 4);
+        if (rough_ && !isCalm_) {
+            when += random_.between(0, random_.chance(0.1) ? 300 * kMs : 5 * kMs);
+        } else {
+            when = l.lastAt = std::max(when, l.lastAt + 1);
+        }
+        if (rough_ && !isCalm_ && random_.chance(0.03)) post(when + random_.between(0, 200 * kMs), from, to, message);
+        post(when, from, to, std::move(message));
+    }
+    void post(Micros when, std::size_t from, std::size_t to, proto::LedgerMessage message) {
+        std::size_t slot = slots_.size();
+        if (freeSlots_.empty()) {
+            slots_.emplace_back();
+        } else {
+            slot = freeSlots_.back();
+            freeSlots_.pop_back();
+        }
+        slots_[slot] = std::move(message);
+        at(when, Kind::deliver, to, from * machines_.size() + to, links_[from * machines_.size() + to].epoch, slot);
+    }
+    void deliver(const Event& e) {
+        auto& l = links_[e.link];
+        if (e.epoch == l.epoch && now_ < l.cutUntil) {  // the cut came while it was under way
+            Event later = e;
+            later.when = l.cutUntil + 1;
+            later.order = ++order_;
+            l.lastAt = std::max(l.lastAt, later.when);
+            events_.push(later);
+            return;
+        }
+        const auto message = std::move(slots_[e.slot]);
+        freeSlots_.push_back(e.slot);
+        auto& m = machines_[e.machine];
+        if (e.epoch != l.epoch || !m.up) return;
+        if (tracing_) trace(e.machine, "hears " + told(message));
+        m.replica->hear(now_, message);
+        soon(e.machine);
+    }
+    void cut(std::size_t from, std::size_t to, Micros until, bool holdsUp) {
+        auto& l = link(from, to);
+        l.cutUntil = std::max(l.cutUntil, until);
+        l.holdsUp = holdsUp;
+        if (!holdsUp) ++l.epoch;
+    }
+
+    // ---- disks ----
+    void beginWrite(std::size_t k) {
+        auto& m = machines_[k];
+        at(std::max(now_, m.stallUntil) + m.syncTime / 2 + random_.between(0, m.syncTime), Kind::diskDone, k);
+    }
+    void diskDone(std::size_t k) {
+        auto& m = machines_[k];
+        if (now_ < m.stallUntil || now_ < m.fullUntil) {
+            at(std::max(m.stallUntil, now_ + 50 * kMs), Kind::diskDone, k);
+            return;
+        }
+        put(m.disk, m.writing.front());
+        const auto done = m.writing.front().number;
+        m.writing.erase(m.writing.begin());
+        m.replica->persisted(now_, done);
+        if (!m.writing.empty()) beginWrite(k);
+        soon(k);
+    }
+
+    // ---- clients ----
+    std::optional<std::size_t> aLeader() {
+        std::vector<std::size_t> all;
+        for (std::size_t k = 0; k < machines_.size(); ++k)
+            if (machines_[k].up && now_ >= machines_[k].frozenUntil && machines_[k].replica->leads()) all.push_back(k);
+        if (all.empty()) return std::nullopt;
+        return all[random_.below(all.size())];
+    }
+    void client() {
+        at(now_ + (random_.chance(0.2) ? random_.between(0, kMs) : random_.between(30 * kMs, 150 * kMs)), Kind::client, 0);
+        checkProgress();
+        const auto k = aLeader();
+        if (!k) return;
+        auto& m = machines_[*k];
+        const std::uint64_t builtOn = random_.chance(0.9) ? m.version : random_.below(m.version + 2);
+        const std::uint64_t id = ++lastId_;
+        const Term term = m.replica->term();
+        if (const auto index = m.replica->propose(now_, std::to_string(id) + "," + std::to_string(builtOn)))
+            m.proposals[*index] = {term, id};
+        soon(*k);
+    }
+    void reader() {
+        at(now_ + random_.between(20 * kMs, 200 * kMs), Kind::reader, 0);
+        auto k = aLeader();
+        if (!k || random_.chance(0.05)) k = random_.below(machines_.size());
+        auto& m = machines_[*k];
+        if (!m.up) return;
+        m.reads[++lastTicket_] = acked_.empty() ? 0 : acked_.back().second;
+        m.replica->read(now_, lastTicket_);
+        soon(*k);
+    }
+
+    // ---- troubles ----
+    [[nodiscard]] std::size_t lost(std::size_t but) const {
+        std::size_t n = 0;
+        for (std::size_t k = 0; k < machines_.size(); ++k) n += k != but && machines_[k].lostUntil > now_ ? 1 : 0;
+        return n;
+    }
+    void lose(std::size_t k, Micros until) {
+        machines_[k].lostUntil = std::max(machines_[k].lostUntil, until + 4 * kSecond);
+        troubledAt_ = now_;
+        at(until, Kind::thaw, k);
+    }
+    void later(std::size_t k, Micros least, Micros most) {
+        const Micros back = now_ + random_.between(least, most);
+        lose(k, back);
+        at(back, Kind::start, k);
+    }
+    static proto::Members newest(const Stored& disk) {
+        for (auto e = disk.entries.rbegin(); e != disk.entries.rend(); ++e)
+            if (e->has_members()) return e->members();
+        return disk.snapshot.members();
+    }
+    // With losses as promised, the plan of losses tells. In the wild, a disk may go as long as every set of members
+    // that anyone knows keeps a majority of disks.
+    [[nodiscard]] bool mayWipe(std::size_t k) const {
+        const auto& m = machines_[k];
+        if (survive_ == 0) return false;
+        if (bounded_) return lost(k) < survive_;
+        const auto fits = [&](const proto::Members& all) {
+            int gone = 0;
+            for (const auto& v : all.voters())
+                gone += dead_.count({v.address(), v.number()}) != 0 ||
+                                (v.address() == m.address && v.number() == m.disk.self.number())
+                            ? 1
+                            : 0;
+            return gone <= (all.voters_size() - 1) / 2;
+        };
+        return std::all_of(machines_.begin(), machines_.end(), [&](const Machine& o) {
+            return fits(newest(o.disk)) && (!o.up || fits(o.replica->members())) &&
+                   std::all_of(o.writing.begin(), o.writing.end(), [&](const Write& w) {
+                       return std::all_of(w.entries.begin(), w.entries.end(),
+                                          [&](const auto& e) { return !e.has_members() || fits(e.members()); });
+                   });
+        });
+    }
+    void trouble() {
+        if (isCalm_) return;
+        at(now_ + random_.between(pace_ / 4, pace_ * 2), Kind::trouble, 0);
+        std::vector<std::size_t> there;
+        for (std::size_t k = 0; k < machines_.size(); ++k)
+            if (machines_[k].there) there.push_back(k);
+        const auto whole = random_.below(100);
+        if (whole < 6) {  // all of them at once, with their disks
+            const bool power = random_.chance(0.5);
+            const bool closing = random_.chance(0.5);
+            std::size_t wipes = closing && (!bounded_ || lost(machines_.size()) == 0) ? survive_ : 0;
+            std::vector<std::size_t> gone;
+            std::vector<std::size_t> order = there;
+            for (std::size_t k = order.size(); k > 1; --k) std::swap(order[k - 1], order[random_.below(k)]);
+            for (const auto k : order) {
+                if (wipes > 0 && (bounded_ || mayWipe(k))) {
+                    --wipes;
+                    wipe(k);
+                } else {
+                    kill(k, power);
+                }
+            }
+            for (const auto k : there) later(k, 300 * kMs, bounded_ ? kSecond : 2 * kSecond);
+            return;
+        }
+        if (!bounded_ && whole < 14) {  // cut in two
+            const Micros until = now_ + random_.between(300 * kMs, 5 * kSecond);
+            const bool holdsUp = random_.chance(0.3);
+            std::vector<bool> side(machines_.size());
+            for (std::size_t k = 0; k < side.size(); ++k) side[k] = random_.chance(0.5);
+            for (const auto a : there)
+                for (const auto b : there)
+                    if (side[a] != side[b]) cut(a, b, until, holdsUp);
+            return;
+        }
+        const std::size_t k = there[random_.below(there.size())];
+        // Leaders are the more interesting ones.
+        const auto leading = aLeader();
+        const std::size_t target = leading && random_.chance(0.35) ? *leading : k;
+        if (bounded_ && lost(target) >= survive_) return;
+        one(target);
+    }
+    void one(std::size_t k) {
+        auto& m = machines_[k];
+        const Micros span = random_.chance(0.3) ? random_.between(10 * kMs, 300 * kMs) : random_.between(300 * kMs, 5 * kSecond);
+        const Micros until = now_ + span;
+        const auto what = random_.below(16);
+        trace(k, "trouble " + std::to_string(what) + " for " + std::to_string(span));
+        switch (what) {
+            case 0: kill(k, false); return later(k, 100 * kMs, 3 * kSecond);
+            case 1: kill(k, true); return later(k, 300 * kMs, 4 * kSecond);
+            case 2:
+            case 3:
+                if (!mayWipe(k)) return;
+                wipe(k);
+                return later(k, 200 * kMs, 5 * kSecond);
+            case 4: m.wipeAtAck = true; return;
+            case 5: m.killAtAck = true; return;
+            case 6: m.frozenUntil = until; return lose(k, until);
+            case 7: m.stallUntil = until; return lose(k, until);
+            case 8: m.fullUntil = until; return lose(k, until);
+            case 9: {  // cut off
+                const bool holdsUp = random_.chance(0.4);
+                for (std::size_t o = 0; o < machines_.size(); ++o) {
+                    cut(k, o, until, holdsUp);
+                    cut(o, k, until, holdsUp);
+                }
+                return lose(k, until);
+            }
+            case 10:
+            case 11: {  // one way only
+                const bool out = random_.chance(0.5);
+                const bool holdsUp = random_.chance(0.4);
+                for (std::size_t o = 0; o < machines_.size(); ++o) out ? cut(k, o, until, holdsUp) : cut(o, k, until, holdsUp);
+                return lose(k, until);
+            }
+            case 12: {  // from some only
+                const bool holdsUp = random_.chance(0.4);
+                for (std::size_t o = 0; o < machines_.size(); ++o) {
+                    if (random_.chance(0.5)) continue;
+                    cut(k, o, until, holdsUp);
+                    cut(o, k, until, holdsUp);
+                }
+                return lose(k, until);
+            }
+            case 13: {
+                const Micros slow = random_.between(5 * kMs, 250 * kMs);
+                for (std::size_t o = 0; o < machines_.size(); ++o) {
+                    link(k, o).slow = link(o, k).slow = slow;
+                    link(k, o).slowUntil = link(o, k).slowUntil = until;
+                }
+                return lose(k, until);
+            }
+            case 14: {  // a planned end
+                if (!m.up) return;
+                m.replica->handOver(now_);
+                soon(k);
+                at(now_ + random_.between(0, 600 * kMs), Kind::kill, k);
+                lose(k, now_ + 2 * kSecond);
+                at(now_ + random_.between(700 * kMs, 2 * kSecond), Kind::start, k);
+                return;
+            }
+            default: return turnover(k);
+        }
+    }
+    // A spare machine comes, this one goes for good.
+    void turnover(std::size_t k) {
+        const auto spare = std::find_if(machines_.begin(), machines_.end(),
+                                        [](const Machine& o) { return !o.there && o.life == 0; });
+        if (spare == machines_.end() || lost(machines_.size()) != 0) return;
+        spare->there = true;
+        const auto s = static_cast<std::size_t>(spare - machines_.begin());
+        at(now_, Kind::start, s);
+        if (bounded_) lose(s, now_ + settings_.silentFor);
+        if (!mayWipe(k)) return;
+        const auto gone = machines_[k].disk.self;
+        wipe(k);
+        machines_[k].there = false;
+        lose(k, now_ + settings_.silentFor + 3 * kSecond);
+        if (!random_.chance(0.5)) return;
+        if (const auto l = aLeader()) {
+            machines_[*l].replica->retire(now_, gone);
+            soon(*l);
+        }
+    }
+
+    // ---- ends ----
+    void checkProgress() {
+        const bool may = bounded_ && now_ - troubledAt_ >= 4 * kSecond && now_ > 8 * kSecond && !isCalm_;
+        if (may && (survive_ > 0 || lost(machines_.size()) == 0))
+            expect(!acked_.empty() && now_ - acked_.back().first < 4 * kSecond, "no progress for 4 s, though losses are as promised");
+        if (isCalm_ && now_ - calmAt_ > 3 * kSecond) expect(firstCalmAck_.has_value(), "no progress within 3 s of calm");
+    }
+    void calm() {
+        isCalm_ = true;
+        trace(0, "calm");
+        for (auto& l : links_) {
+            l.cutUntil = std::min(l.cutUntil, now_);
+            l.slowUntil = 0;
+            if (l.lastAt > now_ + 10 * kMs) {  // what was held up that long is lost
+                ++l.epoch;
+                l.lastAt = now_;
+            }
+        }
+        for (std::size_t k = 0; k < machines_.size(); ++k) {
+            auto& m = machines_[k];
+            m.fullUntil = 0;
+            m.stallUntil = std::min(m.stallUntil, now_);
+            m.frozenUntil = 0;
+            m.wipeAtAck = m.killAtAck = false;
+            if (m.there && !m.up) start(k);
+        }
+    }
+    void finish() {
+        expect(firstCalmAck_.has_value(), "no progress after calm");
+        proto::Members members;
+        std::size_t there = 0;
+        for (const auto& m : machines_) {
+            if (!m.there) continue;
+            ++there;
+            expect(m.applied >= firstCalmIndex_, "a machine hasn't applied what the others have");
+            const Micros age = m.replica->sureAge(now_);
+            expect(age >= 0 && age < kSecond, "a machine isn't sure, though all is calm");
+            if (m.replica->leads()) members = m.replica->members();
+        }
+        expect(!members.voters().empty(), "nobody leads at the end");
+        const auto voters = static_cast<std::size_t>(members.voters_size());
+        const bool all = settings_.silentFor < plan_.calm || there == machines_.size() || machines_.size() == size_;
+        if (!all) return;
+        const std::size_t wanted = there < 3 ? there : there % 2 == 1 ? there : there - 1;
+        expect(voters == std::min<std::size_t>(wanted, settings_.votersMost), "there are not as many voters as there may be");
+        for (const auto& v : members.voters()) {
+            const auto& m = machines_[indexOf(v.address())];
+            expect(m.there && m.disk.self.number() == v.number(), "a voter at the end is one whose disk is gone");
+        }
+    }
+};
+
+}  // namespace marldale::ledger::world
