--- a/src/gateway/ledger/replica.cpp
+++ b/src/gateway/ledger/replica.cpp
@@ -1,6 +1,7 @@
 #include "gateway/ledger/replica.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
@@ -31,7 +32,7 @@
 constexpr Micros kInstallLost = 10000000;  // no word at all: again
 constexpr std::size_t kJoinsAtOnce = 3;
 constexpr std::size_t kLearnersMost = 64;
-constexpr std::size_t kBatchBytes = 256U << 10U;
+constexpr std::size_t kVotersEver = 64;
 constexpr std::size_t kFlyingBytes = 1U << 20U;
 constexpr std::size_t kUncommittedMost = 4096;  // entries; beyond, proposals are refused
 constexpr std::size_t kUncommittedBytes = 8U << 20U;
@@ -254,18 +255,21 @@
     [[nodiscard]] auto reached(Value value) const {
         using Number = decltype(value(self));
         const auto one = [&](const Members& all) {
-            std::vector<Number> values;
-            for (const auto& m : all.voters()) values.push_back(value(m));
-            if (values.empty()) return std::numeric_limits<Number>::lowest();
-            std::sort(values.begin(), values.end(), std::greater<>());
-            return values[values.size() / 2];
+            std::array<Number, kVotersEver> values;
+            const auto count = static_cast<std::size_t>(all.voters_size());
+            check(count <= values.size(), "there are more voters than there may ever be");
+            if (count == 0) return std::numeric_limits<Number>::lowest();
+            std::transform(all.voters().begin(), all.voters().end(), values.begin(), value);
+            const auto middle = values.begin() + count / 2;
+            std::nth_element(values.begin(), middle, values.begin() + count, std::greater<>());
+            return *middle;
         };
         const Number members = one(config().members);
         return joint() ? std::min(members, one(config().outgoing)) : members;
     }
     [[nodiscard]] bool majority(const std::set<Key>& who) const {
         return reached([&](const Member& m) {
-                   if (settings.faults.countsVotesByAddress) {
+                   if (settings.faults.ignoresNumbers) {
                        const auto near = who.lower_bound({m.address(), 0});
                        return near != who.end() && near->first == m.address() ? 1 : 0;
                    }
@@ -331,22 +335,23 @@
     }
 
     // ---- roles ----
+    void enter(Term newTerm) {
+        term = newTerm;
+        voted.reset();
+        hardDirty = true;
+        leader.reset();
+        // What was held back was promised in an earlier term; entries behind it may be cut by now.
+        held.clear();
+        matched = commit;
+        heardRound = answeredRound = 0;
+        answeredMatch = acceptedPrev = 0;
+        owes = refusedLast = false;
+        refusal.reset();
+    }
     void follow(Term newTerm) {
         check(newTerm >= term, "the term would go back");
         const Role was = role;
-        if (newTerm > term) {
-            term = newTerm;
-            voted.reset();
-            hardDirty = true;
-            leader.reset();
-            // What was held back was promised in an earlier term; entries behind it may be cut by now.
-            held.clear();
-            matched = commit;
-            heardRound = answeredRound = 0;
-            answeredMatch = acceptedPrev = 0;
-            owes = refusedLast = false;
-            refusal.reset();
-        }
+        if (newTerm > term) enter(newTerm);
         role = Role::follower;
         if (was == Role::leader) {
             for (const auto& r : reads) out.reads.push_back({r.ticket, false, 0});
@@ -373,14 +378,8 @@
     }
     void campaign(bool handedOver) {
         role = Role::candidate;
-        leader.reset();
-        ++term;
+        enter(term + 1);
         voted = self;
-        hardDirty = true;
-        held.clear();
-        refusal.reset();
-        owes = false;
-        matched = commit;
         electionDue = now + between(settings.electionLeast / 2, settings.electionLeast);
         granted.clear();
         // Asked for only once the own vote is on disk, which then counts.
@@ -598,7 +597,8 @@
     void sendAppend(Peer& p, bool entries) {
         if (p.flow != Flow::install && p.next - 1 < base) {
             if (p.installAt > 0 && now - p.installAt < kInstallAgain) {
-                entries = false;  // not so soon again; the beat goes on below
+                p.probe(p.next);  // not so soon again; the beat goes on below
+                entries = false;
             } else {
                 p.flow = Flow::install;
                 p.waiting = false;
@@ -631,7 +631,7 @@
         std::size_t size = 0;
         if (entries) {
             Index i = p.next;
-            for (; i <= last() && (size == 0 || size + at(i).data().size() <= kBatchBytes); ++i) {
+            for (; i <= last() && (size == 0 || size + at(i).data().size() <= settings.batchBytes); ++i) {
                 *m.add_entries() = at(i);
                 size += at(i).data().size() + 64;
             }
@@ -704,7 +704,7 @@
         const auto kind = m.kind();
         if (m.from().address() == self.address()) return;  // of its own, or of an earlier self
         if (kind == LedgerMessage::JOIN) return hearJoin(m);
-        if (!same(m.to(), self)) return;
+        if (!same(m.to(), self) && !settings.faults.ignoresNumbers) return;
         switch (kind) {
             case LedgerMessage::PRE_VOTE: return hearPreVote(m);
             case LedgerMessage::PRE_VOTE_ANSWER: return hearPreVoteAnswer(m);
@@ -901,7 +901,8 @@
             return;
         }
         check(m.match() <= last(), "more is said to be on a disk than there is");
-        if (m.match() > p.match) p.match = m.match();
+        const bool further = m.match() > p.match;
+        if (further) p.match = m.match();
         p.land(p.match);
         if (p.flow == Flow::install && p.match >= p.installIndex) {
             p.probe(p.match + 1);
@@ -912,7 +913,7 @@
             p.waiting = false;
         }
         p.next = std::max(p.next, p.match + 1);
-        advance();
+        if (further) advance();
     }
 
     void join() {
@@ -1065,13 +1066,9 @@
 Ready Replica::take() {
     auto& s = *state_;
     if (s.role == Role::leader) {
-        s.advance();
         s.tend();
-        s.advance();
-        if (s.role == Role::leader) {
-            s.pump();
-            s.endReads();
-        }
+        s.pump();
+        s.endReads();
     }
     s.answerLeader();
     s.emitWrite();
--- a/src/gateway/ledger/replica.h
+++ b/src/gateway/ledger/replica.h
@@ -38,7 +38,7 @@
     bool votesForShorterLogs = false;
     bool changesAtOnce = false;        // members change though the last change isn't committed
     bool forgetsOutgoing = false;      // the old members' majority isn't asked for
-    bool countsVotesByAddress = false; // whatever the number
+    bool ignoresNumbers = false;       // a member is told by its address alone
     bool trustsArrival = false;        // `sureAge` counts from when word arrived
 };
 
@@ -49,6 +49,7 @@
     Micros heartbeat = 150000;
     Micros electionLeast = 600000, electionMost = 1200000;
     Micros silentFor = 20000000;  // a voter that is silent so long gives its place to a learner that has caught up
+    std::size_t batchBytes = std::size_t{256} << 10U;  // of entries in one message; one entry may be larger
     Faults faults;
 };
 
