--- a/src/gateway/manifold/tables.cpp
+++ b/src/gateway/manifold/tables.cpp
@@ -305,13 +305,13 @@
                 for (const ServerPtr& server : service.servers) {
                     if (!server->usable()) continue;
                     const auto weight = table->second.weights.find(server->id);
-                    if (weight != table->second.weights.end()) made.push_back({server.get(), weight->second});
+                    if (weight != table->second.weights.end()) made.push_back({server, weight->second});
                 }
             }
         }
         if (!made.empty()) continue;
         for (const ServerPtr& server : service.servers) {
-            if (server->usable()) made.push_back({server.get(), 1});
+            if (server->usable()) made.push_back({server, 1});
         }
     }
 }
@@ -330,43 +330,36 @@
     spare_.clear();
     lastResort_.clear();
     bool any = false;
-    for (const auto& [server, weight] : service.candidates[static_cast<std::size_t>(kind)]) {
-        const bool before = std::any_of(tried.begin(), tried.end(), [server = server](const ServerPtr& one) {
-            return one.get() == server;
-        });
-        if (before) continue;
+    for (const Service::Candidate& candidate : service.candidates[static_cast<std::size_t>(kind)]) {
+        const Server& server = *candidate.server;
+        if (std::find(tried.begin(), tried.end(), candidate.server) != tried.end()) continue;
         any = true;
-        if (server->inFlightMost != 0 && server->inFlight >= server->inFlightMost) continue;
-        if (server->connectionsMost != 0 && server->inFlight >= server->connectionsMost) continue;
-        const bool cold = mayBeCold(*server, now);
-        if (cold && !server->recent.allows(now, kColdSpan)) continue;
-        const bool shut = !server->gate.open(now) || server->fullUntil > now;
-        (shut ? lastResort_ : cold ? spare_ : options_).push_back({server, weight});
+        if (server.inFlightMost != 0 && server.inFlight >= server.inFlightMost) continue;
+        if (server.connectionsMost != 0 && server.inFlight >= server.connectionsMost) continue;
+        const bool cold = mayBeCold(server, now);
+        if (cold && !server.recent.allows(now, kColdSpan)) continue;
+        const bool shut = !server.gate.open(now) || server.fullUntil > now;
+        (shut ? lastResort_ : cold ? spare_ : options_).push_back(&candidate);
     }
-    auto& from = !options_.empty() ? options_ : !spare_.empty() ? spare_ : lastResort_;
+    const auto& from = !options_.empty() ? options_ : !spare_.empty() ? spare_ : lastResort_;
     if (from.empty()) return {any ? Room::full : Room::none, nullptr};
+    if (from.size() == 1) return {Room::found, from.front()->server};
     double sum = 0;
-    for (const Option& option : from) sum += option.weight;
-    const auto drawOne = [&]() -> const Option& {
+    for (const auto* option : from) sum += option->weight;
+    const auto drawOne = [&] {
         double left = draw_.unit() * sum;
-        for (const Option& option : from) {
-            left -= option.weight;
+        for (const auto* option : from) {
+            left -= option->weight;
             if (left < 0) return option;
         }
         return from.back();
     };
-    const Option* best = &from.front();
-    if (from.size() > 1) {
-        const Option& one = drawOne();
-        const Option& other = drawOne();
-        const auto busy = [](const Option& option) { return (option.server->inFlight + 1) / option.weight; };
-        best = busy(other) < busy(one) ? &other : &one;
-    }
-    // Shared ownership of what the service's list holds.
-    for (const ServerPtr& server : service.servers) {
-        if (server.get() == best->server) return {Room::found, server};
-    }
-    return {Room::none, nullptr};
+    const auto busy = [](const Service::Candidate* option) {
+        return (option->server->inFlight + 1) / option->weight;
+    };
+    const Service::Candidate* const one = drawOne();
+    const Service::Candidate* const other = drawOne();
+    return {Room::found, (busy(other) < busy(one) ? other : one)->server};
 }
 
 void Tables::cameTo(Service& service, Kind kind) {
--- a/src/gateway/manifold/tables.h
+++ b/src/gateway/manifold/tables.h
@@ -95,7 +95,7 @@
     std::array<Demand, kKinds> demand;
 
     struct Candidate {
-        Server* server = nullptr;
+        ServerPtr server;
         double weight = 0;
     };
     std::array<std::vector<Candidate>, kKinds> candidates;  // those usable, made anew where `stale`
@@ -193,11 +193,7 @@
     bool stranded_ = false;
     Defaults defaults_;
     Draw draw_{1};
-    struct Option {
-        Server* server;
-        double weight;
-    };
-    std::vector<Option> options_, spare_, lastResort_;  // of one pick
+    std::vector<const Service::Candidate*> options_, spare_, lastResort_;  // of one pick
 };
 
 }  // namespace marldale::manifold
--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -204,7 +204,7 @@
     std::uint64_t comings_ = 0;
     std::int64_t bodies_ = 0, answers_ = 0;
     manifold::Draw draw_;
-    bool terminating_ = false, ended_ = false, shut_ = false;
+    bool wasReady_ = false, terminating_ = false, ended_ = false, shut_ = false;
     Micros serveUntil_ = 0, endAt_ = 0;
     std::function<void()> done_;
     EndWait end_;
@@ -281,8 +281,9 @@
 void Carrier::Works::Readiness::came(const std::shared_ptr<ClientConnection>& client) {
     intake::Request& request = client->request();
     if (request.path() != "/-/ready") return client->answerOwn(404);
-    const bool ready = works_.tables_.configured() && works_.tables_.holdsServers() && !works_.terminating_;
-    client->answerOwn(ready ? 200 : 503);
+    // Once ready it stays so, whatever its planner says or doesn't.
+    if (works_.tables_.configured() && works_.tables_.holdsServers()) works_.wasReady_ = true;
+    client->answerOwn(works_.wasReady_ && !works_.terminating_ ? 200 : 503);
 }
 
 void Carrier::Works::tablesChanged() {
@@ -641,7 +642,10 @@
                 server.fullUntil = now + kFullFor;
                 server.gate.answered();
                 break;
-            case Ending::otherLife: tables_.voided(server); break;
+            case Ending::otherLife:
+                tables_.voided(server);
+                closeIdle(poolOf(p->server));
+                break;
             case Ending::broken:
             case Ending::spoiled: server.gate.silent(); break;
             case Ending::failed:
@@ -738,8 +742,16 @@
             letGo(p);
             return finish(p, p->forwarding.mayHaveRun() ? Step::gatewayTimeout : Step::refuse, now);
         }
-        case Stage::sent: return tryEnded(p, Ending::silent, now);
-        case Stage::streaming: return tryEnded(p, Ending::silent, now);
+        case Stage::sent:
+            // What a server may be at work on isn't broken off early while this process is about to end.
+            if (terminating_ && now < p->forwarding.deadline()) return p->wake(p->forwarding.deadline());
+            return tryEnded(p, Ending::silent, now);
+        case Stage::streaming: {
+            // Its client is out of time; that says nothing of the server.
+            const auto client = p->client;
+            drop(p);
+            return client->cut();
+        }
         case Stage::seeking:
         case Stage::done: return;
     }
@@ -759,6 +771,7 @@
             return;
         }
         p->tried.push_back(p->server);
+        ++p->server->tally.tries;
         p->connection.reset();
         return tryEnded(p, Ending::unreached, now);
     }
--- a/tests/gateway/carrier_test.cpp
+++ b/tests/gateway/carrier_test.cpp
@@ -50,3 +50,402 @@
     CHECK(fieldOf(server.seen[1].text, "Content-Length") == "7");
     CHECK(fieldOf(server.seen[1].text, "Transfer-Encoding").empty());
 }
+
+namespace {
+
+Does refusal(const Seen& seen) {
+    return {"HTTP/1.1 503 Service Unavailable\r\nX-Try-Id: " + seen.id +
+            "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+}
+
+// Two servers; the first request that either gets is met by `first`, all others are answered well.
+struct Two : World {
+    StandIn& one = server("i-1");
+    StandIn& other = server("i-2");
+    bool met = false;
+    explicit Two(const std::function<Does(const Seen&)>& first) {
+        for (StandIn* server : {&one, &other}) {
+            server->script = [this, first](const Seen& seen) {
+                if (std::exchange(met, true)) return Does{good(seen.id)};
+                return first(seen);
+            };
+        }
+        start();
+    }
+    std::size_t arrivals() const { return one.seen.size() + other.seen.size(); }
+};
+
+}  // namespace
+
+TEST_CASE("What has not run goes to another server, whatever its kind", "[carrier]") {
+    const std::string path = GENERATE("/r/a", "/w/a");
+    SECTION("refused") {
+        Two world(refusal);
+        Client client(world);
+        CHECK(client.ask(post(path, "t")).status == 200);
+        CHECK(world.one.seen.size() == 1);
+        CHECK(world.other.seen.size() == 1);
+    }
+    SECTION("another life") {
+        Two world([](const Seen&) {
+            return Does{
+                "HTTP/1.1 421 Misdirected Request\r\nX-Answering-Server: i-9\r\nContent-Length: 0\r\n\r\n"};
+        });
+        Client client(world);
+        CHECK(client.ask(post(path, "t")).status == 200);
+        CHECK(world.arrivals() == 2);
+        auto sums = world.carrier->takeSums(World::now());
+        REQUIRE(sums.voided_size() == 1);
+        // Nothing more goes to that life until its line comes anew.
+        StandIn& gone = sums.voided(0) == "i-1" ? world.one : world.other;
+        const std::size_t before = gone.seen.size();
+        for (int k = 0; k < 10; ++k) CHECK(client.ask(post(path, "u" + std::to_string(k))).status == 200);
+        CHECK(gone.seen.size() == before);
+        marldale::sluice::proto::Orders again;
+        World::serverLine(again, gone);
+        world.obey(again);
+        for (int k = 0; k < 20; ++k) CHECK(client.ask(post(path, "v" + std::to_string(k))).status == 200);
+        CHECK(gone.seen.size() > before);
+    }
+    SECTION("a dead port") {
+        Two world([](const Seen& seen) { return Does{good(seen.id)}; });
+        world.one.shut();
+        Client client(world);
+        for (int k = 0; k < 10; ++k) CHECK(client.ask(post(path, "t" + std::to_string(k))).status == 200);
+        CHECK(world.other.seen.size() == 10);
+    }
+}
+
+TEST_CASE("Without a proof a writing request is not sent again, and the answer promises nothing",
+          "[carrier]") {
+    const auto [what, does] = GENERATE(table<std::string, std::function<Does(const Seen&)>>({
+        {"reset", [](const Seen&) { return Does{"", Does::Then::reset}; }},
+        {"closed", [](const Seen&) { return Does{"", Does::Then::close}; }},
+        {"garbage", [](const Seen&) { return Does{"\x01\x02 nonsense\r\n\r\n"}; }},
+        {"another id", [](const Seen&) { return Does{good("late")}; }},
+        {"no id", [](const Seen&) { return Does{"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n"}; }},
+        {"no seal",
+         [](const Seen& seen) {
+             return Does{"HTTP/1.1 200 OK\r\nX-Try-Id: " + seen.id + "\r\nContent-Length: 1\r\n\r\nx"};
+         }},
+        {"an encoding", [](const Seen& seen) { return Does{good(seen.id, "zip", "Content-Encoding: gzip\r\n")}; }},
+        {"cut", [](const Seen& seen) {
+             const std::string whole = good(seen.id, "a longer body");
+             return Does{whole.substr(0, whole.size() - 3), Does::Then::close};
+         }},
+        {"cut in its head",
+         [](const Seen& seen) { return Does{"HTTP/1.1 200 OK\r\nX-Try-Id: " + seen.id, Does::Then::close}; }},
+        {"no end",
+         [](const Seen& seen) {
+             return Does{"HTTP/1.1 200 OK\r\nX-Try-Id: " + seen.id + "\r\nX-Server-Seal: s\r\n\r\nbody",
+                         Does::Then::close};
+         }},
+        {"a promise without a proof",
+         [](const Seen& seen) {
+             return Does{"HTTP/1.1 503 No\r\nX-Try-Id: " + seen.id + "\r\nContent-Length: 0\r\n\r\n"};
+         }},
+        {"a refusal of another request",
+         [](const Seen&) {
+             return Does{"HTTP/1.1 503 No\r\nX-Try-Id: late\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+         }},
+    }));
+    INFO(what);
+    {
+        Two world(does);
+        Client client(world);
+        const Reply reply = client.ask(post("/w/a", "t"));
+        CHECK(reply.status == 502);
+        CHECK(world.arrivals() == 1);
+        CHECK(client.ask(post("/w/a", "u")).status == 200);
+    }
+    {
+        // What may run twice is asked again.
+        Two world(does);
+        Client client(world);
+        const Reply reply = client.ask(get("/r/a", "t"));
+        CHECK(reply.status == 200);
+        CHECK(fieldOf(reply.head, "X-Try-Id") == "t");
+        CHECK(world.arrivals() == 2);
+    }
+}
+
+TEST_CASE("A server's own failure is passed on, for reading after another try", "[carrier]") {
+    const auto failure = [](const Seen& seen) {
+        return Does{"HTTP/1.1 500 Own\r\nX-Try-Id: " + seen.id +
+                    "\r\nX-Mine: yes\r\nContent-Length: 4\r\n\r\noops"};
+    };
+    Two world(failure);
+    Client client(world);
+    const Reply written = client.ask(post("/w/a", "t"));
+    CHECK(written.status == 500);
+    CHECK(written.body == "oops");
+    CHECK(fieldOf(written.head, "X-Mine") == "yes");
+    world.met = false;
+    CHECK(client.ask(get("/r/a", "u")).status == 200);
+    CHECK(world.arrivals() == 3);
+    for (StandIn* server : {&world.one, &world.other}) server->script = failure;
+    CHECK(client.ask(get("/r/a", "v")).body == "oops");
+    CHECK(world.arrivals() == 5);
+}
+
+TEST_CASE("Bytes behind an answer belong to nobody", "[carrier]") {
+    const std::string extra = GENERATE(as<std::string>{}, "surplus", good("t"), good("u", "evil"));
+    Two world([&](const Seen& seen) { return Does{good(seen.id) + extra}; });
+    Client client(world);
+    SECTION("writing") {
+        const Reply reply = client.ask(post("/w/a", "t"));
+        CHECK(reply.status == 200);
+        CHECK(reply.body == "hello");
+        CHECK(world.arrivals() == 1);
+    }
+    SECTION("reading") {
+        CHECK(client.ask(get("/r/a", "t")).body == "hello");
+        CHECK(world.arrivals() == 2);
+    }
+    // Their connection serves nobody any more.
+    for (StandIn* server : {&world.one, &world.other}) {
+        server->script = [](const Seen& seen) { return Does{good(seen.id, "fine")}; };
+    }
+    for (int k = 0; k < 4; ++k) CHECK(client.ask(post("/w/a", "u")).body == "fine");
+    CHECK(client.rest().empty());
+}
+
+TEST_CASE("A surplus answer that comes later ends its connection", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    Client client(world);
+    REQUIRE(client.ask(post("/w/a", "t")).status == 200);
+    server.late(good("t"));
+    world.turn();
+    CHECK(client.ask(post("/w/a", "u")).status == 200);
+    CHECK(server.connections == 2);
+    // Also if there was no turn of the loop between: the check before its use finds it.
+    server.late(good("u"));
+    CHECK(client.ask(post("/w/a", "v")).status == 200);
+    CHECK(server.seen.size() == 3);
+}
+
+TEST_CASE("The budget bounds what is sent again", "[carrier]") {
+    World world;
+    world.settings.extraTries = 0;
+    world.settings.retryRatio = 0;
+    StandIn& one = world.server("i-1");
+    StandIn& other = world.server("i-2");
+    one.script = other.script = refusal;
+    world.start();
+    Client client(world);
+    unsigned refused = 0;
+    for (int k = 0; k < 20; ++k) {
+        const Reply reply = client.ask(get("/r/a", "t" + std::to_string(k)));
+        if (reply.status == 503 && !fieldOf(reply.head, "Retry-After").empty()) ++refused;
+    }
+    CHECK(refused == 20);
+    CHECK(one.seen.size() + other.seen.size() == 21);  // one token was there
+}
+
+TEST_CASE("No route, no configuration, and readiness", "[carrier]") {
+    World world;
+    world.server("i-1");
+    world.carrier = std::make_unique<Carrier>(world.loop, world.settings, world.tables);
+    REQUIRE(world.carrier->listen().ok());
+    Client client(world);
+    Client platform(world, world.carrier->readinessPort());
+    const std::string look = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    CHECK(platform.ask(look).status == 503);
+    const Reply early = client.ask(get("/r/a", "t"));
+    CHECK(early.status == 503);
+    CHECK_FALSE(fieldOf(early.head, "Retry-After").empty());
+    world.obey(world.orders());
+    CHECK(platform.ask(look).status == 200);
+    CHECK(client.ask(get("/no/a", "t")).status == 404);
+    CHECK(client.ask(get("/r/a", "t")).status == 200);
+    CHECK(client.ask("GET /r/a HTTP/1.1\r\nhOST:  A.Example:8080 \r\nX-Try-Id: t\r\n\r\n").status == 200);
+    CHECK(client.ask("GET /r/a HTTP/1.1\r\nHost: b.example\r\nX-Try-Id: t\r\n\r\n").status == 404);
+}
+
+TEST_CASE("What isn't HTTP to the letter is refused and its connection ends", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    const std::string head = "POST /w/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: t\r\n";
+    const std::string bad = GENERATE_COPY(
+        head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nb=1",
+        head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nb=1", head + "Content-Length: 3, 3\r\n\r\nb=1",
+        head + "Content-Length: +3\r\n\r\nb=1", head + "Content-Length: 0x3\r\n\r\nb=1",
+        head + "Content-Length: -1\r\n\r\nb=1", head + "Content-Length:\r\n\r\nb=1",
+        head + "Content-Length : 3\r\n\r\nb=1", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: identity\r\n\r\n",
+        head +
+            "Transfer-Encoding: \x0b"
+            "chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n-3\r\nb=1\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\nb=1\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n 3\r\nb=1\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nb=12\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nb=1\r\n0\r\n\r\n",
+        head + "X-A: b\r\n folded\r\n\r\n", head + "X-A: b\nX-B: c\r\n\r\n", head + "X-A: b\rX-B: c\r\n\r\n",
+        head + "X-A: b\x01\r\n\r\n", head + std::string("X-A: b\0c\r\n\r\n", 12), head + "X A: b\r\n\r\n",
+        head + ": b\r\n\r\n", head + "no colon\r\n\r\n", head + "Host: a.example\r\n\r\n",
+        head + "X-Try-Id: u\r\n\r\n", "POST /w/a HTTP/1.1\r\nX-Try-Id: t\r\n\r\n",
+        "POST /w/a HTTP/1.2\r\nHost: a.example\r\n\r\n", "POST /w/a HTTP/2.0\r\nHost: a.example\r\n\r\n",
+        "POST  /w/a HTTP/1.1\r\nHost: a.example\r\n\r\n", "POST /w/a  HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        "POST /w/a\tb HTTP/1.1\r\nHost: a.example\r\n\r\n", "POST /w/a HTTP/1.1 \r\nHost: a.example\r\n\r\n",
+        " POST /w/a HTTP/1.1\r\nHost: a.example\r\n\r\n", "POST /w/a HTTP/1.1\nHost: a.example\n\n",
+        "POST /w/a\r\nHost: a.example\r\n\r\n", "POST w/a HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        "\r\nPOST /w/a HTTP/1.1\r\nHost: a.example\r\n\r\n",
+        "POST /w/a HTTP/1.0\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    INFO(bad);
+    Client client(world);
+    client.send(bad + get("/r/smuggled", "s"));
+    const Reply reply = client.read();
+    CHECK(reply.status == 400);
+    CHECK(fieldOf(reply.head, "Connection") == "close");
+    CHECK(client.waitClosed());
+    CHECK(client.rest().empty());
+    CHECK(server.seen.empty());
+}
+
+TEST_CASE("Limits on heads, bodies and waits", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    Client client(world);
+    const std::string half = "GET /r/a HTTP/1.1\r\nHost: a.example\r\n";
+    SECTION("a long head") {
+        client.send(half + "X-A: " + std::string(5000, 'a'));
+        CHECK(client.read().status == 431);
+    }
+    SECTION("a large body") {
+        client.send("POST /w/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 9000000\r\n\r\n");
+        CHECK(client.read().status == 413);
+    }
+    SECTION("a large body in chunks") {
+        client.send("POST /w/a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n900000\r\n");
+        CHECK(client.read().status == 413);
+    }
+    SECTION("a head that stalls") {
+        client.send(half);
+        CHECK(client.read().status == 408);
+    }
+    SECTION("a body that stalls") {
+        client.send("POST /w/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: t\r\nContent-Length: 9\r\n\r\nb=");
+        CHECK(client.read().status == 408);
+    }
+    SECTION("bodies beyond what is held in all") {
+        marldale::sluice::proto::Orders orders;
+        orders.add_lines()->mutable_limits()->set_max_header_bytes(4096);
+        orders.mutable_lines(0)->mutable_limits()->set_max_body_bytes(64 << 20);
+        orders.mutable_lines(0)->mutable_limits()->set_header_wait(2000000);
+        orders.mutable_lines(0)->mutable_limits()->set_quiet(2000000);
+        world.obey(orders);
+        client.send(
+            "POST /w/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: t\r\nContent-Length: 34000000\r\n\r\n");
+        const Reply reply = client.read();
+        CHECK(reply.status == 503);
+        CHECK_FALSE(fieldOf(reply.head, "Retry-After").empty());
+    }
+    CHECK(client.waitClosed());
+    CHECK(server.seen.empty());
+}
+
+TEST_CASE("A connection that stays quiet is closed without a word", "[carrier]") {
+    World world;
+    world.server("i-1");
+    auto orders = world.orders();
+    for (auto& line : *orders.mutable_lines()) {
+        if (line.has_limits()) line.mutable_limits()->set_quiet(30000);
+    }
+    world.start(orders);
+    Client fresh(world), used(world);
+    CHECK(used.ask(get("/r/a", "t")).status == 200);
+    CHECK(fresh.waitClosed());
+    CHECK(used.waitClosed());
+    CHECK(fresh.rest().empty());
+    CHECK(used.rest().empty());
+}
+
+TEST_CASE("Requests on one connection are answered one after the other", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    Client client(world);
+    std::string all;
+    for (int k = 0; k < 20; ++k)
+        all += k % 2 == 0 ? get("/r/a", "t" + std::to_string(k)) : post("/w/a", "t" + std::to_string(k));
+    client.send(all);
+    for (int k = 0; k < 20; ++k) CHECK(fieldOf(client.read().head, "X-Try-Id") == "t" + std::to_string(k));
+    CHECK(server.seen.size() == 20);
+}
+
+TEST_CASE("Large answers stream, wait for slow clients, and look cut when they are", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    std::string body(3000000, 'x');
+    for (std::size_t k = 0; k < body.size(); k += 1000) body[k] = static_cast<char>('a' + k / 1000 % 26);
+    Client client(world);
+    std::string chunked;
+    for (std::size_t k = 0; k < body.size(); k += 100000)
+        chunked += "186a0\r\n" + body.substr(k, 100000) + "\r\n";
+    SECTION("with a length") {
+        server.script = [&](const Seen& seen) { return Does{good(seen.id, body)}; };
+        const Reply reply = client.ask(get("/d/a", "t"));
+        CHECK(reply.status == 200);
+        CHECK((reply.body == body));
+        CHECK(fieldOf(reply.head, "Content-Length") == "3000000");
+    }
+    SECTION("in chunks") {
+        server.script = [&](const Seen& seen) {
+            return Does{"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Try-Id: " + seen.id +
+                        "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked + "0\r\n\r\n"};
+        };
+        CHECK((client.ask(get("/d/a", "t")).body == body));
+        CHECK((client.ask(get("/d/a", "u")).body == body));
+    }
+    SECTION("cut, with a length") {
+        server.script = [&](const Seen& seen) {
+            return Does{good(seen.id, body).substr(0, 1500000), Does::Then::close};
+        };
+        const Reply reply = client.ask(get("/d/a", "t"));
+        CHECK(reply.closed);
+        CHECK_FALSE(reply.whole);
+        CHECK(reply.body.size() < body.size());
+    }
+    SECTION("cut, in chunks") {
+        server.script = [&](const Seen& seen) {
+            return Does{"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Try-Id: " + seen.id +
+                            "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
+                        Does::Then::close};
+        };
+        const Reply reply = client.ask(get("/d/a", "t"));
+        CHECK(reply.closed);
+        CHECK_FALSE(reply.whole);
+    }
+}
+
+TEST_CASE("A small answer in chunks is held and goes on with a length", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    server.script = [&](const Seen& seen) {
+        return Does{"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Try-Id: " + seen.id +
+                    "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"};
+    };
+    Client client(world);
+    const Reply reply = client.ask(get("/r/a", "t"));
+    CHECK(reply.body == "abcde");
+    CHECK(fieldOf(reply.head, "Content-Length") == "5");
+    server.script = [&](const Seen& seen) {
+        return Does{"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Try-Id: " + seen.id +
+                    "\r\nContent-Length: 77\r\n\r\n"};
+    };
+    client.send("HEAD /r/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: h\r\n\r\n");
+    const Reply headOnly = client.read(true);
+    CHECK(headOnly.status == 200);
+    CHECK(fieldOf(headOnly.head, "Content-Length") == "77");
+}
--- a/tests/gateway/sluice_support.h
+++ b/tests/gateway/sluice_support.h
@@ -54,6 +54,11 @@
     std::vector<Seen> seen;
     unsigned connections = 0;
     const std::string id;
+    // Bytes on the connection used last, that nobody asked for.
+    void late(const std::string& bytes) {
+        boost::system::error_code error;
+        if (const auto one = last_.lock()) asio::write(one->socket, asio::buffer(bytes), error);
+    }
     void shut() {
         boost::system::error_code error;
         acceptor_.close(error);
@@ -82,6 +87,7 @@
                           fieldOf(in.substr(0, head + 2), "X-Meant-Server"), requests++};
                 in.erase(0, whole);
                 server.seen.push_back(seen);
+                server.last_ = weak_from_this();
                 const Does does = server.script(seen);
                 boost::system::error_code error;
                 socket.non_blocking(false, error);
@@ -108,6 +114,7 @@
         });
     }
     tcp::acceptor acceptor_;
+    std::weak_ptr<One> last_;
 };
 
 // What came back on a client's connection.
