--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -46,6 +46,7 @@
 constexpr Micros kFreshFor =
     1000000;  // a connection that answered so lately takes requests that must not run twice
 constexpr Micros kReadyFor = 2500000;  // after SIGTERM: the platform has missed two looks by then
+constexpr double kReadyPart = 0.45;    // of the grace, if that is less
 constexpr Micros kEndMargin = 300000;  // before the grace ends
 constexpr Micros kComeBackLeast = 100000, kComeBackSpread = 150000;  // Retry-After
 constexpr Micros kNoConfiguration = 300000;                          // Retry-After while there is none
@@ -323,7 +324,8 @@
     done_ = std::move(done);
     const Micros now = steadyNow();
     endAt_ = now + std::max<Micros>(0, settings_.grace - kEndMargin);
-    serveUntil_ = std::min(endAt_, now + kReadyFor);
+    serveUntil_ =
+        now + std::min(kReadyFor, static_cast<Micros>(static_cast<double>(settings_.grace) * kReadyPart));
     end_.wake(serveUntil_);
 }
 
--- a/tests/gateway/carrier_test.cpp
+++ b/tests/gateway/carrier_test.cpp
@@ -1,6 +1,7 @@
 #include "sluice_support.h"
 
 using namespace marldale::sluice;
+using marldale::Micros;
 
 TEST_CASE("A request reaches a server unchanged and its answer comes back", "[carrier]") {
     World world;
@@ -216,12 +217,12 @@
     world.start();
     Client client(world);
     REQUIRE(client.ask(post("/w/a", "t")).status == 200);
-    server.late(good("t"));
+    server.late("t", good("t"));
     world.turn();
     CHECK(client.ask(post("/w/a", "u")).status == 200);
     CHECK(server.connections == 2);
     // Also if there was no turn of the loop between: the check before its use finds it.
-    server.late(good("u"));
+    server.late("u", good("u"));
     CHECK(client.ask(post("/w/a", "v")).status == 200);
     CHECK(server.seen.size() == 3);
 }
@@ -449,3 +450,215 @@
     CHECK(headOnly.status == 200);
     CHECK(fieldOf(headOnly.head, "Content-Length") == "77");
 }
+
+TEST_CASE("What must not run twice goes over a connection that is surely open", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    const std::string keep =
+        GENERATE(as<std::string>{}, "Keep-Alive: timeout=1\r\n", "Connection: close\r\n");
+    server.script = [&](const Seen& seen) { return Does{good(seen.id, "x", keep)}; };
+    world.start();
+    Client client(world);
+    // The margin takes the whole second of the first; the second says it itself.
+    for (int k = 0; k < 3; ++k) CHECK(client.ask(post("/w/a", "t")).status == 200);
+    CHECK(server.connections == 3);
+}
+
+TEST_CASE("A connection that the server has closed costs no try", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    Client client(world);
+    REQUIRE(client.ask(post("/w/a", "t")).status == 200);
+    server.script = [&](const Seen& seen) { return Does{good(seen.id), Does::Then::close}; };
+    REQUIRE(client.ask(post("/w/a", "u")).status == 200);
+    REQUIRE(client.ask(post("/w/a", "v")).status == 200);
+    CHECK(server.seen.size() == 3);
+    CHECK(server.connections == 2);
+}
+
+TEST_CASE("A silent server: reading moves on, writing waits for its deadline", "[carrier]") {
+    Two world([](const Seen&) { return Does{}; });
+    Client client(world);
+    const std::string quick =
+        "GET /r/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: t\r\nX-Time-Left: 200\r\n\r\n";
+    const Micros from = World::now();
+    CHECK(client.ask(quick).status == 200);
+    CHECK(World::now() - from > 100000);
+    CHECK(World::now() - from < 190000);
+    world.met = false;
+    const Micros second = World::now();
+    CHECK(client
+              .ask("POST /w/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: u\r\nX-Time-Left: "
+                   "100\r\nContent-Length: 0\r\n\r\n")
+              .status == 504);
+    CHECK(World::now() - second >= 99000);
+    CHECK(world.arrivals() == 3);
+}
+
+TEST_CASE("Without room a request waits a little, then is refused in time; rank goes first", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    std::vector<std::string> order;
+    server.script = [&](const Seen& seen) {
+        order.push_back(seen.id);
+        return Does{};
+    };
+    auto orders = world.orders();
+    for (auto& line : *orders.mutable_lines()) {
+        if (line.has_server()) line.mutable_server()->set_in_flight_most(1);
+    }
+    World::route(orders, "/first/", marldale::sluice::proto::RouteLine::WRITING, "s")->set_rank(0);
+    World::route(orders, "/last/", marldale::sluice::proto::RouteLine::WRITING, "s")->set_rank(3);
+    world.start(orders);
+    Client busy(world), last(world), first(world);
+    busy.send(post("/w/a", "busy"));
+    REQUIRE(world.until([&] { return order.size() == 1; }));
+    last.send(post("/last/a", "last"));
+    world.turn();
+    first.send(post("/first/a", "first"));
+    SECTION("nothing comes free") {
+        const Micros from = World::now();
+        for (Client* client : {&last, &first}) {
+            const Reply reply = client->read();
+            CHECK(reply.status == 503);
+            CHECK_FALSE(fieldOf(reply.head, "Retry-After").empty());
+        }
+        CHECK(World::now() - from < 100000);  // a quarter of the target
+        CHECK(order.size() == 1);
+    }
+    SECTION("there is room again") {
+        world.turn();
+        server.late("busy", good("busy"));
+        CHECK(busy.read().status == 200);
+        REQUIRE(world.until([&] { return order.size() == 2; }));
+        CHECK(order[1] == "first");
+        server.late("first", good("first"));
+        CHECK(first.read().status == 200);
+        REQUIRE(world.until([&] { return order.size() == 3; }));
+        CHECK(order[2] == "last");
+    }
+}
+
+TEST_CASE("A client that leaves: writing is finished, reading is broken off, waiting is forgotten",
+          "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    server.script = [&](const Seen&) { return Does{}; };
+    auto orders = world.orders();
+    for (auto& line : *orders.mutable_lines()) {
+        if (line.has_server()) line.mutable_server()->set_in_flight_most(1);
+    }
+    world.start(orders);
+    {
+        Client client(world);
+        client.send(post("/w/a", "t"));
+        REQUIRE(world.until([&] { return server.seen.size() == 1; }));
+        Client waiting(world);
+        waiting.send(get("/r/a", "w"));
+        world.turn();
+        waiting.reset();
+        client.reset();
+        world.turn();
+    }
+    server.late("t", good("t"));
+    world.turn();
+    Client client(world);
+    client.send(get("/r/a", "u"));
+    REQUIRE(world.until([&] { return server.seen.size() == 2; }));
+    CHECK(server.seen[1].id == "u");
+    CHECK(server.connections == 1);  // the answer was drained, and the connection went on
+    client.reset();
+    world.turn();
+    server.script = [](const Seen& seen) { return Does{good(seen.id)}; };
+    Client next(world);
+    CHECK(next.ask(get("/r/a", "v")).status == 200);
+    CHECK(server.connections == 2);
+}
+
+TEST_CASE("A server whose line goes while it is dialled gets nothing", "[carrier]") {
+    World world;
+    StandIn& one = world.server("i-1");
+    world.start();
+    Client client(world);
+    client.send(post("/w/a", "t"));
+    // The request is read and its server dialled in the next turn; the line goes before the dial's end is
+    // seen.
+    StandIn& other = world.server("i-2");
+    bool changed = false;
+    world.until([&] {
+        if (one.connections == 1 && !changed) {
+            changed = true;
+            marldale::sluice::proto::Orders orders;
+            orders.add_lines()->set_server_drop("i-1");
+            World::serverLine(orders, other);
+            world.obey(orders);
+        }
+        return changed;
+    });
+    world.loop.poll();
+    const Reply reply = client.read();
+    CHECK(reply.status == 200);
+    CHECK(one.seen.size() + other.seen.size() == 1);
+    CHECK(client.ask(post("/w/a", "u")).status == 200);
+    CHECK(other.seen.size() >= 1);
+}
+
+TEST_CASE("After SIGTERM it serves on, finishes what is under way, and ends", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.settings.grace = GENERATE(700000, 1500000);
+    const bool fast = world.settings.grace < 1000000;
+    bool answers = true;
+    server.script = [&](const Seen& seen) { return answers ? Does{good(seen.id)} : Does{}; };
+    world.start();
+    Client platform(world, world.carrier->readinessPort());
+    Client idle(world), busy(world);
+    CHECK(idle.ask(get("/r/a", "i")).status == 200);
+    answers = false;
+    busy.send(post("/w/a", "b"));
+    REQUIRE(world.until([&] { return server.seen.size() == 2; }));
+    bool done = false;
+    const Micros from = World::now();
+    world.carrier->terminate([&] { done = true; });
+    CHECK(platform.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status == 503);
+    answers = true;
+    Client late(world);
+    const Reply reply = late.ask(get("/r/a", "l"));
+    CHECK(reply.status == 200);
+    CHECK(fieldOf(reply.head, "Connection") == "close");
+    CHECK(late.waitClosed());
+    CHECK(idle.ask(get("/r/a", "i")).status == 200);
+    CHECK(idle.waitClosed());
+    if (fast) {
+        // It must end, whoever is still at work.
+        REQUIRE(world.until([&] { return done; }));
+        CHECK(World::now() - from < 600000);
+        return;
+    }
+    CHECK_FALSE(done);
+    server.late("b", good("b"));
+    CHECK(busy.read().status == 200);
+    CHECK_FALSE(done);  // the platform may not have looked yet
+    REQUIRE(world.until([&] { return done; }));
+    CHECK(World::now() - from > 500000);
+    CHECK(World::now() - from < 1100000);
+}
+
+TEST_CASE("What is counted goes to the planner", "[carrier]") {
+    Two world([](const Seen&) { return Does{"", Does::Then::reset}; });
+    Client client(world);
+    CHECK(client.ask(get("/r/a", "t")).status == 200);
+    CHECK(client.ask(post("/w/a", "u")).status == 200);
+    const auto sums = world.carrier->takeSums(World::now());
+    CHECK(sums.period() > 0);
+    unsigned tries = 0, failed = 0;
+    for (const auto& server : sums.servers()) {
+        tries += server.tries();
+        failed += server.failed();
+    }
+    CHECK(tries == 3);
+    CHECK(failed == 1);
+    REQUIRE(sums.demands_size() == 2);
+    CHECK(sums.demands(0).came() + sums.demands(1).came() == 2);
+}
--- a/tests/gateway/sluice_support.h
+++ b/tests/gateway/sluice_support.h
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -54,10 +55,10 @@
     std::vector<Seen> seen;
     unsigned connections = 0;
     const std::string id;
-    // Bytes on the connection used last, that nobody asked for.
-    void late(const std::string& bytes) {
+    // Bytes on the connection that this request came on, later than it.
+    void late(const std::string& id, const std::string& bytes) {
         boost::system::error_code error;
-        if (const auto one = last_.lock()) asio::write(one->socket, asio::buffer(bytes), error);
+        if (const auto one = cameOn_[id].lock()) asio::write(one->socket, asio::buffer(bytes), error);
     }
     void shut() {
         boost::system::error_code error;
@@ -87,7 +88,7 @@
                           fieldOf(in.substr(0, head + 2), "X-Meant-Server"), requests++};
                 in.erase(0, whole);
                 server.seen.push_back(seen);
-                server.last_ = weak_from_this();
+                server.cameOn_[seen.id] = weak_from_this();
                 const Does does = server.script(seen);
                 boost::system::error_code error;
                 socket.non_blocking(false, error);
@@ -114,7 +115,7 @@
         });
     }
     tcp::acceptor acceptor_;
-    std::weak_ptr<One> last_;
+    std::map<std::string, std::weak_ptr<One>> cameOn_;
 };
 
 // What came back on a client's connection.
