Sluice: what a carrier holds is let go with it

Need: no leak when a carrier ends with requests under way. Change: connections let go of the requests that hold them. Measured: 37 cases pass with the address and undefined-behaviour sanitizers.

--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -251,7 +251,10 @@
     for (const auto& client : looks) client->close();
     const auto connections = std::move(connections_);
     connections_.clear();
-    for (const auto& connection : connections) connection->close();
+    for (const auto& connection : connections) {
+        connection->user.reset();  // which holds it in turn
+        connection->close();
+    }
     for (auto& [service, queue] : waiting_) {
         for (auto& [place, p] : queue) p->sleep();
     }
