--- a/src/gateway/manifold/tables.cpp
+++ b/src/gateway/manifold/tables.cpp
@@ -177,7 +177,11 @@
         case proto::Line::kServiceDrop: service(line.service_drop()).configured = false; break;
         case proto::Line::kLimits: {
             const auto& told = line.limits();
-            limits_ = {told.max_header_bytes(), told.max_body_bytes(), told.header_wait(), told.quiet()};
+            limits_ = Limits{};  // what isn't told is as at first
+            if (told.max_header_bytes() > 0) limits_.maxHeaderBytes = told.max_header_bytes();
+            if (told.max_body_bytes() > 0) limits_.maxBodyBytes = told.max_body_bytes();
+            if (told.header_wait() > 0) limits_.headerWait = told.header_wait();
+            if (told.quiet() > 0) limits_.quiet = told.quiet();
             break;
         }
         case proto::Line::kServer: obeyServer(line.server(), now); break;
@@ -338,7 +342,8 @@
         if (server.connectionsMost != 0 && server.inFlight >= server.connectionsMost) continue;
         const bool cold = mayBeCold(server, now);
         if (cold && !server.recent.allows(now, kColdSpan)) continue;
-        const bool shut = !server.gate.open(now) || server.fullUntil > now;
+        if (server.fullUntil > now) continue;
+        const bool shut = !server.gate.open(now);
         (shut ? lastResort_ : cold ? spare_ : options_).push_back(&candidate);
     }
     const auto& from = !options_.empty() ? options_ : !spare_.empty() ? spare_ : lastResort_;
--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -130,7 +130,7 @@
         bool checked = false;     // the head of the answer is one of this request
         Answer answer;            // the last one that was whole
         std::int64_t held = 0;
-        std::pair<unsigned, std::uint64_t> place;  // among those that wait
+        std::pair<unsigned, std::uint64_t> place{};  // among those that wait; 0: has not waited yet
     };
     using Waiting = std::map<std::pair<unsigned, std::uint64_t>, PassagePtr>;  // by rank, then by coming
 
@@ -442,7 +442,7 @@
 
 void Carrier::Works::enqueue(const PassagePtr& p, Micros now) {
     Waiting& queue = waiting_[&p->service];
-    p->place = {p->rank, ++comings_};
+    if (p->place.second == 0) p->place = {p->rank, ++comings_};  // it keeps its place
     p->stage = Stage::waiting;
     queue.emplace(p->place, p);
     p->wake(std::min(p->waitUntil, now + kWaitLook));
@@ -477,22 +477,27 @@
     const Micros now = steadyNow();
     for (manifold::Service* service : services) {
         Waiting& queue = waiting_[service];
+        std::array<bool, manifold::kKinds> full{};  // for those that have tried none
         for (auto at = queue.begin(); at != queue.end();) {
             const PassagePtr p = at->second;
-            ++at;
+            bool& none = full[static_cast<std::size_t>(p->kind)];
+            if (none && p->tried.empty()) {
+                ++at;
+                continue;
+            }
             const manifold::Pick pick = tables_.pick(*service, p->kind, p->tried, now);
+            if (pick.room == Room::full) {
+                none = none || p->tried.empty();
+                ++at;
+                continue;
+            }
+            unqueue(*p);
             if (pick.room == Room::found) {
-                unqueue(*p);
                 attempt(p, pick.server, now);
-                // What this led to may have changed the queue.
-                at = queue.upper_bound(p->place);
-            } else if (pick.room == Room::none) {
-                unqueue(*p);
+            } else {
                 finish(p, p->forwarding.last(now), now);
-                at = queue.upper_bound(p->place);
-            } else if (p->tried.empty()) {
-                break;  // nor is there room for those behind it
             }
+            at = queue.upper_bound(p->place);  // what this led to may have changed the queue
         }
     }
 }
@@ -514,7 +519,8 @@
         if (mustBeFresh && (connection->usedAt() + kFreshFor < now || connection->goodUntil() < now))
             return nullptr;
         pool.idle.pop_back();
-        if (connection->goodUntil() >= now && connection->sound()) return connection;
+        // What may run twice may also find it closed, at the price of a further try.
+        if (connection->goodUntil() >= now && (!mustBeFresh || connection->sound())) return connection;
         connection->close();
     }
     return nullptr;
@@ -696,13 +702,11 @@
 void Carrier::Works::finish(const PassagePtr& p, Step step, Micros now) {
     static_cast<void>(now);
     returnToken(*p);
+    holdAnswer(*p, 0);
     p->stage = Stage::done;
     p->sleep();
     const auto client = std::move(p->client);
-    if (!client || client->isClosed()) {
-        holdAnswer(*p, 0);
-        return;
-    }
+    if (!client || client->isClosed()) return;
     const auto failed = [&] { ++p->service.demand[static_cast<std::size_t>(p->kind)].failed; };
     // A promise that the server didn't make isn't passed on for what must not run twice.
     if (step == Step::pass && (p->answer.status == 0 || (!p->forwarding.repeatable() && !p->answer.notRun &&
@@ -713,8 +717,6 @@
         case Step::pass: {
             if (p->answer.status >= 500) failed();
             const Answer answer = std::move(p->answer);
-            p->answer.clear();
-            holdAnswer(*p, 0);
             const bool headOnly = client->request().headOnly;
             std::optional<std::uint64_t> length = answer.body.size();
             if (headOnly || answer.status == 304) length = answer.length;
@@ -741,7 +743,14 @@
 
 void Carrier::Works::passageDue(const PassagePtr& p, Micros now) {
     switch (p->stage) {
-        case Stage::waiting: unqueue(*p); return seek(p, now);
+        case Stage::waiting:
+            if (now < p->waitUntil) {
+                // Cold limits and full servers open again without a word.
+                wakeLater(p->service);
+                return p->wake(std::min(p->waitUntil, now + kWaitLook));
+            }
+            unqueue(*p);
+            return seek(p, now);
         case Stage::dialling: {
             // The dial has its own time; this is the request's. The connection is kept for others.
             letGo(p);
--- a/tests/gateway/carrier_test.cpp
+++ b/tests/gateway/carrier_test.cpp
@@ -662,3 +662,114 @@
     REQUIRE(sums.demands_size() == 2);
     CHECK(sums.demands(0).came() + sums.demands(1).came() == 2);
 }
+
+TEST_CASE("Clients of other habits: Expect, HTTP/1.0, a close asked for", "[carrier]") {
+    World world;
+    StandIn& server = world.server("i-1");
+    world.start();
+    {
+        Client client(world);
+        client.send(
+            "POST /w/a HTTP/1.1\r\nHost: a.example\r\nX-Try-Id: t\r\nExpect: 100-Continue\r\nContent-Length: "
+            "3\r\n\r\n");
+        CHECK(client.read(true).status == 100);
+        CHECK(client.ask("b=1").status == 200);
+        CHECK(fieldOf(server.seen.back().text, "Expect").empty());
+    }
+    {
+        Client client(world);
+        const Reply reply = client.ask("GET /r/a HTTP/1.0\r\nHost: a.example\r\nX-Try-Id: u\r\n\r\n");
+        CHECK(reply.status == 200);
+        CHECK(client.waitClosed());
+        CHECK(server.seen.back().text.find("GET /r/a HTTP/1.1\r\n") == 0);
+    }
+    {
+        Client client(world);
+        for (int k = 0; k < 2; ++k) {
+            const Reply reply = client.ask(
+                "GET /r/a HTTP/1.0\r\nHost: a.example\r\nX-Try-Id: u\r\nConnection: Keep-Alive\r\n\r\n");
+            CHECK(fieldOf(reply.head, "Connection") == "keep-alive");
+        }
+    }
+    {
+        Client client(world);
+        const Reply reply = client.ask(get("/r/a", "v", "Connection: close\r\n"));
+        CHECK(fieldOf(reply.head, "Connection") == "close");
+        CHECK(client.waitClosed());
+    }
+    {
+        // Fields of the framing and of ours can't be dropped by naming them.
+        Client client(world);
+        CHECK(
+            client
+                .ask(get("/r/a", "w", "Connection: X-Try-Id, Host, X-Time-Left\r\nX-Meant-Server: evil\r\n"))
+                .status == 200);
+        CHECK(server.seen.back().id == "w");
+        CHECK(server.seen.back().meant == "i-1");
+        CHECK(server.seen.back().text.find("evil") == std::string::npos);
+        CHECK(fieldOf(server.seen.back().text, "Host") == "a.example");
+    }
+}
+
+TEST_CASE("A storm of random faults: every request gets one answer that keeps its promise", "[carrier]") {
+    World world;
+    marldale::manifold::Draw draw(GENERATE(range(1, 9)));
+    std::map<std::string, int> ran;  // by id
+    std::map<std::string, int> arrived;
+    for (int k = 0; k < 4; ++k) {
+        StandIn& server = world.server("i-" + std::to_string(k));
+        server.script = [&](const Seen& seen) {
+            ++arrived[seen.id];
+            const auto drawn = draw.next() % 16;
+            if (drawn == 0) return refusal(seen);
+            if (drawn == 1)
+                return Does{"HTTP/1.1 421 M\r\nX-Try-Id: " + seen.id + "\r\nContent-Length: 0\r\n\r\n"};
+            ++ran[seen.id];
+            const std::string whole = good(seen.id, seen.id + std::string(draw.next() % 600, 'x'));
+            switch (drawn) {
+                case 2: return Does{whole.substr(0, draw.next() % whole.size()), Does::Then::close};
+                case 3: return Does{whole.substr(0, draw.next() % whole.size()), Does::Then::reset};
+                case 4: return Does{whole + good("late")};
+                case 5: return Does{good("late")};
+                case 6: return Does{"", Does::Then::close};
+                case 7:
+                    return Does{"HTTP/1.1 500 O\r\nX-Try-Id: " + seen.id + "\r\nContent-Length: 0\r\n\r\n"};
+                case 8: return Does{whole, Does::Then::close};
+                default: return Does{whole};
+            }
+        };
+    }
+    world.start();
+    unsigned answered = 0, served = 0;
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int k = 0; k < 8; ++k) clients.push_back(std::make_unique<Client>(world));
+    for (int round = 0; round < 40; ++round) {
+        std::vector<std::string> ids;
+        for (std::size_t k = 0; k < clients.size(); ++k) {
+            ids.push_back((k % 2 == 0 ? "w" : "r") + std::to_string(round) + "." + std::to_string(k));
+            clients[k]->send(k % 2 == 0 ? post("/w/a", ids[k]) : get("/r/a", ids[k]));
+        }
+        for (std::size_t k = 0; k < clients.size(); ++k) {
+            const Reply reply = clients[k]->read();
+            REQUIRE(reply.whole);
+            ++answered;
+            if (reply.status == 200) {
+                ++served;
+                REQUIRE(fieldOf(reply.head, "X-Try-Id") == ids[k]);
+                REQUIRE(fieldOf(reply.head, "X-Server-Seal") == "s." + ids[k]);
+                REQUIRE(reply.body.starts_with(ids[k]));
+            }
+            if (k % 2 != 0) continue;
+            REQUIRE(ran[ids[k]] <= 1);
+            if (reply.status == 503) REQUIRE(ran[ids[k]] == 0);
+            if (reply.status == 200) REQUIRE(ran[ids[k]] == 1);
+        }
+        for (const auto& [id, count] : arrived) REQUIRE(count <= 2);
+        // The planner gives them anew what another life has taken.
+        marldale::sluice::proto::Orders again;
+        for (const auto& server : world.servers) World::serverLine(again, *server);
+        world.obey(again);
+    }
+    CHECK(answered == 320);
+    CHECK(served > 180);
+}
