--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -46,6 +46,7 @@
 constexpr Micros kFreshFor =
     1000000;  // a connection that answered so lately takes requests that must not run twice
 constexpr Micros kReadyFor = 2500000;  // after SIGTERM: the platform has missed two looks by then
+constexpr double kReadyPart = 0.45;    // of the grace, if that is less
 constexpr Micros kEndMargin = 300000;  // before the grace ends
 constexpr Micros kComeBackLeast = 100000, kComeBackSpread = 150000;  // Retry-After
 constexpr Micros kNoConfiguration = 300000;                          // Retry-After while there is none
@@ -129,7 +130,7 @@
         bool checked = false;     // the head of the answer is one of this request
         Answer answer;            // the last one that was whole
         std::int64_t held = 0;
-        std::pair<unsigned, std::uint64_t> place;  // among those that wait
+        std::pair<unsigned, std::uint64_t> place{};  // among those that wait; 0: has not waited yet
     };
     using Waiting = std::map<std::pair<unsigned, std::uint64_t>, PassagePtr>;  // by rank, then by coming
 
@@ -204,7 +205,7 @@
     std::uint64_t comings_ = 0;
     std::int64_t bodies_ = 0, answers_ = 0;
     manifold::Draw draw_;
-    bool terminating_ = false, ended_ = false, shut_ = false;
+    bool wasReady_ = false, terminating_ = false, ended_ = false, shut_ = false;
     Micros serveUntil_ = 0, endAt_ = 0;
     std::function<void()> done_;
     EndWait end_;
@@ -250,7 +251,10 @@
     for (const auto& client : looks) client->close();
     const auto connections = std::move(connections_);
     connections_.clear();
-    for (const auto& connection : connections) connection->close();
+    for (const auto& connection : connections) {
+        connection->user.reset();  // which holds it in turn
+        connection->close();
+    }
     for (auto& [service, queue] : waiting_) {
         for (auto& [place, p] : queue) p->sleep();
     }
@@ -281,8 +285,9 @@
 void Carrier::Works::Readiness::came(const std::shared_ptr<ClientConnection>& client) {
     intake::Request& request = client->request();
     if (request.path() != "/-/ready") return client->answerOwn(404);
-    const bool ready = works_.tables_.configured() && works_.tables_.holdsServers() && !works_.terminating_;
-    client->answerOwn(ready ? 200 : 503);
+    // Once ready it stays so, whatever its planner says or doesn't.
+    if (works_.tables_.configured() && works_.tables_.holdsServers()) works_.wasReady_ = true;
+    client->answerOwn(works_.wasReady_ && !works_.terminating_ ? 200 : 503);
 }
 
 void Carrier::Works::tablesChanged() {
@@ -322,7 +327,8 @@
     done_ = std::move(done);
     const Micros now = steadyNow();
     endAt_ = now + std::max<Micros>(0, settings_.grace - kEndMargin);
-    serveUntil_ = std::min(endAt_, now + kReadyFor);
+    serveUntil_ =
+        now + std::min(kReadyFor, static_cast<Micros>(static_cast<double>(settings_.grace) * kReadyPart));
     end_.wake(serveUntil_);
 }
 
@@ -436,7 +442,7 @@
 
 void Carrier::Works::enqueue(const PassagePtr& p, Micros now) {
     Waiting& queue = waiting_[&p->service];
-    p->place = {p->rank, ++comings_};
+    if (p->place.second == 0) p->place = {p->rank, ++comings_};  // it keeps its place
     p->stage = Stage::waiting;
     queue.emplace(p->place, p);
     p->wake(std::min(p->waitUntil, now + kWaitLook));
@@ -471,22 +477,27 @@
     const Micros now = steadyNow();
     for (manifold::Service* service : services) {
         Waiting& queue = waiting_[service];
+        std::array<bool, manifold::kKinds> full{};  // for those that have tried none
         for (auto at = queue.begin(); at != queue.end();) {
             const PassagePtr p = at->second;
-            ++at;
+            bool& none = full[static_cast<std::size_t>(p->kind)];
+            if (none && p->tried.empty()) {
+                ++at;
+                continue;
+            }
             const manifold::Pick pick = tables_.pick(*service, p->kind, p->tried, now);
+            if (pick.room == Room::full) {
+                none = none || p->tried.empty();
+                ++at;
+                continue;
+            }
+            unqueue(*p);
             if (pick.room == Room::found) {
-                unqueue(*p);
                 attempt(p, pick.server, now);
-                // What this led to may have changed the queue.
-                at = queue.upper_bound(p->place);
-            } else if (pick.room == Room::none) {
-                unqueue(*p);
+            } else {
                 finish(p, p->forwarding.last(now), now);
-                at = queue.upper_bound(p->place);
-            } else if (p->tried.empty()) {
-                break;  // nor is there room for those behind it
             }
+            at = queue.upper_bound(p->place);  // what this led to may have changed the queue
         }
     }
 }
@@ -508,7 +519,8 @@
         if (mustBeFresh && (connection->usedAt() + kFreshFor < now || connection->goodUntil() < now))
             return nullptr;
         pool.idle.pop_back();
-        if (connection->goodUntil() >= now && connection->sound()) return connection;
+        // What may run twice may also find it closed, at the price of a further try.
+        if (connection->goodUntil() >= now && (!mustBeFresh || connection->sound())) return connection;
         connection->close();
     }
     return nullptr;
@@ -641,7 +653,10 @@
                 server.fullUntil = now + kFullFor;
                 server.gate.answered();
                 break;
-            case Ending::otherLife: tables_.voided(server); break;
+            case Ending::otherLife:
+                tables_.voided(server);
+                closeIdle(poolOf(p->server));
+                break;
             case Ending::broken:
             case Ending::spoiled: server.gate.silent(); break;
             case Ending::failed:
@@ -687,13 +702,11 @@
 void Carrier::Works::finish(const PassagePtr& p, Step step, Micros now) {
     static_cast<void>(now);
     returnToken(*p);
+    holdAnswer(*p, 0);
     p->stage = Stage::done;
     p->sleep();
     const auto client = std::move(p->client);
-    if (!client || client->isClosed()) {
-        holdAnswer(*p, 0);
-        return;
-    }
+    if (!client || client->isClosed()) return;
     const auto failed = [&] { ++p->service.demand[static_cast<std::size_t>(p->kind)].failed; };
     // A promise that the server didn't make isn't passed on for what must not run twice.
     if (step == Step::pass && (p->answer.status == 0 || (!p->forwarding.repeatable() && !p->answer.notRun &&
@@ -704,8 +717,6 @@
         case Step::pass: {
             if (p->answer.status >= 500) failed();
             const Answer answer = std::move(p->answer);
-            p->answer.clear();
-            holdAnswer(*p, 0);
             const bool headOnly = client->request().headOnly;
             std::optional<std::uint64_t> length = answer.body.size();
             if (headOnly || answer.status == 304) length = answer.length;
@@ -732,14 +743,29 @@
 
 void Carrier::Works::passageDue(const PassagePtr& p, Micros now) {
     switch (p->stage) {
-        case Stage::waiting: unqueue(*p); return seek(p, now);
+        case Stage::waiting:
+            if (now < p->waitUntil) {
+                // Cold limits and full servers open again without a word.
+                wakeLater(p->service);
+                return p->wake(std::min(p->waitUntil, now + kWaitLook));
+            }
+            unqueue(*p);
+            return seek(p, now);
         case Stage::dialling: {
             // The dial has its own time; this is the request's. The connection is kept for others.
             letGo(p);
             return finish(p, p->forwarding.mayHaveRun() ? Step::gatewayTimeout : Step::refuse, now);
         }
-        case Stage::sent: return tryEnded(p, Ending::silent, now);
-        case Stage::streaming: return tryEnded(p, Ending::silent, now);
+        case Stage::sent:
+            // What a server may be at work on isn't broken off early while this process is about to end.
+            if (terminating_ && now < p->forwarding.deadline()) return p->wake(p->forwarding.deadline());
+            return tryEnded(p, Ending::silent, now);
+        case Stage::streaming: {
+            // Its client is out of time; that says nothing of the server.
+            const auto client = p->client;
+            drop(p);
+            return client->cut();
+        }
         case Stage::seeking:
         case Stage::done: return;
     }
@@ -759,6 +785,7 @@
             return;
         }
         p->tried.push_back(p->server);
+        ++p->server->tally.tries;
         p->connection.reset();
         return tryEnded(p, Ending::unreached, now);
     }
