After a start everyone is found sooner, votes are asked for sooner, servers are recalled from disk

Cause: after all processes had been killed, sluices answered 503 for 0.8 s after they were up (leader at 0.74 s, links each 0.25 s), then waited for each server's next beat; links between headworks were closed every 6 s, since nothing comes back on a dialed one.

Change: votes after 150 to 300 ms at a start, dials each 60 ms for 3 s, servers kept as a hint on disk (cold only where the word is old), silence of a link judged by all that is heard of its end; lines of other zones count less for large answers (not seen to act yet).

--- a/src/gateway/aqueduct/steering.cpp
+++ b/src/gateway/aqueduct/steering.cpp
@@ -11,6 +11,8 @@
 constexpr double kChannelLinesPerS = 20000;
 constexpr double kChannelLines = 20000;
 constexpr Micros kSumsEvery = 1000000;
+// What a line of another zone's server counts: bytes between zones are paid for, and large answers have nearly all of them.
+constexpr float kAbroadLarge = 0.1F, kAbroadElse = 0.7F;
 constexpr double kColdShare = 0.25, kTipMultiple = 2;
 
 proto::Line weightLine(const std::string& service, TableId table, const std::string& server, float weight) {
@@ -230,6 +232,8 @@
             line.mutable_bind()->set_service(name);
             line.mutable_bind()->set_table(bind->table);
             line.mutable_bind()->set_classes(bind->classes);
+            line.mutable_bind()->set_abroad(kAbroadLarge);
+            line.mutable_bind()->set_abroad_else(kAbroadElse);
             lines.push_back(line);
             for (const TableId table : before) {
                 if (uses(service, bind->proxy, table)) continue;
--- a/src/gateway/confluence/view.h
+++ b/src/gateway/confluence/view.h
@@ -17,7 +17,7 @@
 
 struct Settings {
     std::size_t most = 24, control = 16, sample = 8;
-    std::uint32_t ageMost = 12;      // shuffles of ours without fresh word of it
+    std::uint32_t ageMost = 20;      // shuffles of ours without fresh word of it
     Micros every = 2000000;          // between shuffles of ours
     Micros everyAlone = 300000;      // while nobody that serves control is known
     std::uint64_t seed = 1;
--- a/src/gateway/gauges/registry.cpp
+++ b/src/gateway/gauges/registry.cpp
@@ -69,6 +69,20 @@
     return out;
 }
 
+void Registry::hint(Micros now, const proto::Server& said, Micros ago) {
+    if (said.id().empty() || said.gone() || servers_.count(said.id()) != 0 || byAddress_.count(said.address()) != 0) return;
+    Server& server = servers_[said.id()];
+    server.said = said;
+    server.heardAt = now - static_cast<Micros>(settings_.missed * static_cast<double>(settings_.beatEvery)) + settings_.hintFor;
+    server.firstAt = now;
+    const Micros age = ago + said.heard_ago();
+    server.coldByOrder = ago < 0 || age > settings_.hintFresh;
+    server.orderAt = now;
+    server.coldUntil = server.coldByOrder ? now + settings_.hintCold : now - age + said.cold_left();
+    byAddress_[said.address()] = said.id();
+    ++changes_;
+}
+
 void Registry::alive(Micros now, const std::string& id) {
     if (const auto at = servers_.find(id); at != servers_.end()) at->second.aliveAt = now;
 }
--- a/src/gateway/gauges/registry.h
+++ b/src/gateway/gauges/registry.h
@@ -16,6 +16,9 @@
 struct Settings {
     Micros beatEvery = 1500000;
     double missed = 3.1;          // beats that may be missed before a silent server counts as gone
+    Micros hintFor = 2500000;     // a recalled server has so long to beat
+    Micros hintFresh = 6000000;   // an older word says nothing of cold times
+    Micros hintCold = 5000000;
     Micros aliveFor = 3000000;    // an answer to a sluice speaks for a silent server this long
     Micros goneKept = 60000000;   // what has signed off is remembered, lest late news bring it back
     std::size_t most = 20000;
@@ -44,6 +47,9 @@
     };
     // A beat or a sign-off (`gone`), first hand or by another headworks (then `heard_ago` tells how old).
     News heard(Micros now, const proto::Server& said);
+    // From an earlier run's disk, written `ago` by the time of day: gone if it doesn't beat soon, and cold until then where its
+    // word is too old to tell. Never outweighs what was heard.
+    void hint(Micros now, const proto::Server& said, Micros ago);
     // A sluice had a good answer from it.
     void alive(Micros now, const std::string& id);
     // Another life has answered at its address.
--- a/src/gateway/headworks/disk_writer.cpp
+++ b/src/gateway/headworks/disk_writer.cpp
@@ -1,6 +1,13 @@
 #include "gateway/headworks/disk_writer.h"
 
+#include <xxhash.h>
+
 #include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "bytes/varint.h"
 
 namespace marldale::headworks {
 namespace {
@@ -30,10 +37,40 @@
     changed_.notify_one();
 }
 
+void DiskWriter::keep(std::string path, std::string text) {
+    {
+        const std::lock_guard lock(mutex_);
+        keeping_[std::move(path)] = std::move(text);
+    }
+    changed_.notify_one();
+}
+
+std::optional<std::string> DiskWriter::kept(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream all;
+    if (!file || !(all << file.rdbuf())) return std::nullopt;
+    const std::string text = all.str();
+    if (text.size() < 8 || bytes::fixedAt<std::uint64_t>(text, 0) != XXH3_64bits(text.data() + 8, text.size() - 8)) return std::nullopt;
+    return text.substr(8);
+}
+
 void DiskWriter::run() {
     std::unique_lock lock(mutex_);
     while (true) {
-        changed_.wait(lock, [this] { return ending_ || !queue_.empty(); });
+        changed_.wait(lock, [this] { return ending_ || !queue_.empty() || !keeping_.empty(); });
+        if (queue_.empty() && !keeping_.empty() && !ending_) {
+            const auto next = keeping_.extract(keeping_.begin());
+            lock.unlock();
+            std::string head;
+            bytes::putFixed(head, static_cast<std::uint64_t>(XXH3_64bits(next.mapped().data(), next.mapped().size())));
+            const std::string beside = next.key() + ".new";
+            std::ofstream file(beside, std::ios::binary | std::ios::trunc);
+            file << head << next.mapped();
+            file.close();
+            if (file) (void)std::rename(beside.c_str(), next.key().c_str());
+            lock.lock();
+            continue;
+        }
         if (queue_.empty()) return;
         const ledger::Write next = std::move(queue_.front());
         queue_.pop_front();
--- a/src/gateway/headworks/disk_writer.h
+++ b/src/gateway/headworks/disk_writer.h
@@ -8,8 +8,11 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <thread>
 
 #include "gateway/ledger/store.h"
@@ -25,6 +28,11 @@
     DiskWriter(const DiskWriter&) = delete;
     DiskWriter& operator=(const DiskWriter&) = delete;
     void write(ledger::Write write);
+    // A file that only spares work later: written whole beside the old one and moved over it, behind all writes that wait.
+    // A failure is nothing.
+    void keep(std::string path, std::string text);
+    // Nothing if it isn't there or isn't whole.
+    [[nodiscard]] static std::optional<std::string> kept(const std::string& path);
 
 private:
     void run();
@@ -36,6 +44,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<ledger::Write> queue_;
+    std::map<std::string, std::string> keeping_;  // by path, the newest text
     bool ending_ = false;
     std::thread thread_;
 };
--- a/src/gateway/headworks/headworks.cpp
+++ b/src/gateway/headworks/headworks.cpp
@@ -22,11 +22,13 @@
 constexpr Micros kNewsEvery = 300000;        // beats passed on, merged
 constexpr Micros kSweepEvery = 500000;
 constexpr Micros kDialWithin = 400000, kDialAgain = 250000;
+constexpr Micros kStarting = 3000000, kDialAgainStarting = 60000;  // after a start everyone is looked for
 constexpr Micros kMarkTimeout = 500000;      // an unanswered mark holds later changes this long
 constexpr Micros kSureWithin = 1500000;      // an older view of the log hands out no copies
 constexpr Micros kChangeWithin = 2500000, kReadWithin = 900000, kLeaderWithin = 800000, kTellWithin = 700000;
 constexpr Micros kOthersKept = 5000000, kMostKept = 30000000;
 constexpr Micros kSilentLink = 1500000;
+constexpr Micros kHintsEvery = 2000000;
 constexpr std::uint64_t kSnapshotEvery = 64;  // changes
 constexpr double kUsualRate = 20;             // requests a second of a sluice of which nothing is known yet
 
@@ -38,6 +40,9 @@
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
 }
+Micros wallNow() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
 std::vector<std::string> zoneNames(const settings::Settings& settings) {
     std::vector<std::string> out;
     for (const auto& [zone, region] : settings.zones) out.push_back(zone);
@@ -105,6 +110,7 @@
     ledger::Settings rules;
     rules.seeds = settings_.insideSeeds();
     rules.seed = life_;
+    if (!settings_.dataFolder.empty()) readHints(steadyNow());
     log::info("ledger_opened", {{"number", stored->self.number()}, {"term", stored->term}, {"entries", stored->entries.size()},
                                 {"snapshot", stored->snapshot.index()}, {"first_run", settings_.firstRun}});
     replica_ = std::make_unique<ledger::Replica>(rules, std::move(*stored), steadyNow());
@@ -218,7 +224,9 @@
     }
     for (const std::string& address : wanted) peers_.try_emplace(address);
     for (auto& [address, peer] : peers_) {
-        if (peer.link && now - peer.link->heardAt() > 4 * kSilentLink) {
+        const auto word = sluicesAt_.find(address);
+        const Micros told = word == sluicesAt_.end() ? 0 : word->second.first;
+        if (peer.link && now - std::max(peer.link->heardAt(), told) > 4 * kSilentLink) {
             // Its process may be frozen: what waits for it is worth nothing any more.
             auto link = std::exchange(peer.link, nullptr);
             names_.erase(link.get());
@@ -230,7 +238,8 @@
         links::dial(io_, address, kDialWithin, [this, address = address](std::shared_ptr<Link> link) {
             PeerLink& peer = peers_[address];
             peer.dialing = false;
-            peer.nextDial = steadyNow() + kDialAgain;
+            const Micros at = steadyNow();
+            peer.nextDial = at + (at - startedAt_ < kStarting ? kDialAgainStarting : kDialAgain);
             if (!link || stopping_) return;
             const Link* raw = link.get();
             peer.link = link;
@@ -360,6 +369,26 @@
     }
 }
 
+// Hints only: what is on disk is late by some seconds, so servers of it go soon if they don't beat. It spares a system that starts over the wait for everyone's beat.
+void Headworks::keepHints(Micros now) {
+    if (now < nextHints_ || settings_.dataFolder.empty() || registry_.servers().empty()) return;
+    nextHints_ = now + kHintsEvery;
+    std::vector<std::string> all;
+    for (const auto& [id, server] : registry_.servers()) all.push_back(id);
+    proto::Frame frame = newsOf(all, true, now);
+    frame.mutable_news()->set_number(static_cast<std::uint64_t>(wallNow()));
+    disk_->keep(settings_.dataFolder + "/servers", frame.news().SerializeAsString());
+}
+
+void Headworks::readHints(Micros now) {
+    const auto text = DiskWriter::kept(settings_.dataFolder + "/servers");
+    proto::ServerNews news;
+    if (!text || !news.ParseFromString(*text)) return;
+    const Micros ago = wallNow() - static_cast<Micros>(news.number());
+    for (const proto::Server& server : news.servers()) registry_.hint(now, server, ago);
+    log::info("servers_recalled", {{"servers", registry_.servers().size()}});
+}
+
 void Headworks::beat(proto::Server said, Answer answer) {
     const Micros now = steadyNow();
     const auto what = registry_.heard(now, said);
@@ -725,9 +754,8 @@
 }
 
 void Headworks::countSluices(Micros now) {
-    std::erase_if(sluicesAt_, [&](const auto& at) { return now - at.second.first > kOthersKept; });
     std::size_t count = sluices_.size(), seen = 0;
-    for (const auto& [address, told] : sluicesAt_) count += told.second;
+    for (const auto& [address, told] : sluicesAt_) count += now - told.first > kOthersKept ? 0 : told.second;
     for (const auto& [address, peer] : view_.peers()) seen += peer.control().empty() ? 1 : 0;
     count = std::max(count, std::min<std::size_t>(seen, 16));
     const std::size_t before = sluicesMost_;
@@ -779,9 +807,11 @@
     if (now >= nextWord_) sendWord(now);
     if (now >= nextNews_) {
         sendNews(now);
-        nextNews_ = now + kNewsEvery;
+        const bool alone = std::any_of(peers_.begin(), peers_.end(), [](const auto& p) { return !p.second.link; });
+        nextNews_ = now + (alone && now - startedAt_ < kStarting ? kDialAgainStarting : kNewsEvery);
         endLate(now);
         dialPeers(now);
+        keepHints(now);
     }
     if (now >= nextSweep_) {
         nextSweep_ = now + kSweepEvery;
--- a/src/gateway/headworks/headworks.h
+++ b/src/gateway/headworks/headworks.h
@@ -98,6 +98,8 @@
     void tick();
     void dialPeers(Micros now);
     void tellPeers(const proto::Frame& frame);
+    void keepHints(Micros now);
+    void readHints(Micros now);
     void sendNews(Micros now);
     [[nodiscard]] proto::Frame newsOf(const std::vector<std::string>& ids, bool whole, Micros now) const;
     void apart(std::function<void()> step, Micros after);
@@ -155,7 +157,7 @@
     Micros sluicesMostAt_ = 0;
     bool gotWhole_ = false, wholeTold_ = false, stopping_ = false, working_ = false;
     std::string lastLeader_;
-    Micros nextWord_ = 0, nextNews_ = 0, nextSweep_ = 0;
+    Micros nextWord_ = 0, nextNews_ = 0, nextSweep_ = 0, nextHints_ = 0;
     std::uint64_t sinceSnapshot_ = 0;
     std::vector<std::string> contacts_;
 };
--- a/src/gateway/ledger/replica.cpp
+++ b/src/gateway/ledger/replica.cpp
@@ -26,6 +26,7 @@
 constexpr Micros kNever = std::numeric_limits<Micros>::max();
 constexpr Micros kJoinEvery = 300000;
 constexpr Micros kLonelyAfter = 3000000;  // then a voter asks to join too: it may have been taken out unheard
+constexpr Micros kStarting = 2000000;  // after a start votes are asked for more often
 constexpr Micros kLearnerSilent = 5000000;  // then a learner is forgotten
 constexpr Micros kMarksKept = 5000000;
 constexpr Micros kInstallAgain = 300000;   // at the earliest
@@ -143,6 +144,7 @@
     std::optional<Member> leader;
     Micros heardAt;  // from a leader
     Micros electionDue = kNever;
+    Micros startedAt = 0;
     Micros sureAt = -1;
     Micros joinedAt;
     std::vector<std::string> contactList;
@@ -212,7 +214,10 @@
         commit = applied = base;
         if (base > 0) out.install = snapshot;
         mark = draw();
-        awaitElection();
+        // Where all start at once nobody leads, and everyone waits for that: ask soon. Where somebody leads the
+        // asking is refused and disturbs nothing.
+        startedAt = now;
+        electionDue = now + between(settings.heartbeat, 2 * settings.heartbeat);
     }
 
     // ---- log ----
@@ -371,7 +376,9 @@
     void ask() {
         role = Role::asking;
         leader.reset();
-        electionDue = now + between(settings.electionLeast / 2, settings.electionLeast);
+        electionDue = now - startedAt < kStarting
+                          ? now + between(settings.heartbeat / 2, settings.heartbeat * 3 / 2)
+                          : now + between(settings.electionLeast / 2, settings.electionLeast);
         granted = {keyOf(self)};
         if (majority(granted)) return campaign(false);
         request(LedgerMessage::PRE_VOTE, term + 1, false);
--- a/src/gateway/manifold/tables.cpp
+++ b/src/gateway/manifold/tables.cpp
@@ -208,7 +208,10 @@
         case proto::Line::kBind: {
             Service& of = service(line.bind().service());
             for (std::size_t k = 0; k < kKinds; ++k) {
-                if (covers(line.bind().classes(), static_cast<Kind>(k))) of.bound[k] = line.bind().table();
+                if (!covers(line.bind().classes(), static_cast<Kind>(k))) continue;
+                of.bound[k] = line.bind().table();
+                const float abroad = static_cast<Kind>(k) == Kind::fetchDown ? line.bind().abroad() : line.bind().abroad_else();
+                of.abroad[k] = abroad > 0 ? abroad : 1;
             }
             of.stale = true;
             break;
@@ -309,7 +312,9 @@
                 for (const ServerPtr& server : service.servers) {
                     if (!server->usable()) continue;
                     const auto weight = table->second.weights.find(server->id);
-                    if (weight != table->second.weights.end()) made.push_back({server, weight->second});
+                    if (weight == table->second.weights.end()) continue;
+                    const bool home = defaults_.zone.empty() || server->zone == defaults_.zone;
+                    made.push_back({server, weight->second * (home ? 1 : service.abroad[k])});
                 }
             }
         }
--- a/src/gateway/manifold/tables.h
+++ b/src/gateway/manifold/tables.h
@@ -86,6 +86,7 @@
     };
     std::map<std::uint32_t, Table> tables;
     std::array<std::optional<std::uint32_t>, kKinds> bound;
+    std::array<float, kKinds> abroad = {1, 1, 1};  // what a line of another zone's server counts
     std::vector<Level> levels;
     bool budgetTold = false;
     Budget budget;
@@ -130,6 +131,7 @@
         double retryRatio = 0.2;
         unsigned extraTries = 0;
         std::uint64_t seed = 1;
+        std::string zone;  // its own
     };
     Tables() = default;
     void setDefaults(const Defaults& defaults);
--- a/src/gateway/sluice/binding.cpp
+++ b/src/gateway/sluice/binding.cpp
@@ -12,7 +12,8 @@
 
 using links::steadyNow;
 
-constexpr Micros kTick = 250000;
+constexpr Micros kTick = 250000, kTickUnbound = 60000;  // the shorter one for the first seconds without a planner
+constexpr Micros kSeekFor = 3000000;
 constexpr Micros kDialWithin = 400000;
 constexpr Micros kSilentMost = 1100000;    // a planner that says nothing for so long is left
 constexpr Micros kUnsureMost = 1200000;    // or that is unsure of the newest changes for so long
@@ -49,7 +50,8 @@
       }),
       ends_(std::move(ends)),
       timer_(io),
-      startedAt_(steadyNow()) {}
+      startedAt_(steadyNow()),
+      unboundAt_(startedAt_) {}
 
 absl::Status Binding::start() {
     if (auto s = datagrams_.open(); !s.ok()) return s;
@@ -92,7 +94,8 @@
     }
     if (!link_ && !dialing_) choose(now);
     noteStranded(now);
-    arm(kTick);
+    if (link_) unboundAt_ = now;
+    arm(!link_ && now - unboundAt_ < kSeekFor ? kTickUnbound : kTick);
 }
 
 void Binding::noteStranded(Micros now) {
--- a/src/gateway/sluice/binding.h
+++ b/src/gateway/sluice/binding.h
@@ -58,7 +58,7 @@
     std::shared_ptr<links::Link> link_;
     std::string at_;  // the planner's address, while bound or dialing
     bool dialing_ = false, stranded_ = false, stopping_ = false;
-    Micros boundAt_ = 0, sureAt_ = 0, nextSums_ = 0, startedAt_ = 0;
+    Micros boundAt_ = 0, sureAt_ = 0, nextSums_ = 0, startedAt_ = 0, unboundAt_ = 0;
     std::uint32_t sluices_ = 0;
 };
 
--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -222,7 +222,7 @@
       timers_(loop),
       draw_(settings_.seed),
       end_(timers_, *this) {
-    tables_.setDefaults({settings_.retryRatio, settings_.extraTries, settings_.seed});
+    tables_.setDefaults({settings_.retryRatio, settings_.extraTries, settings_.seed, settings_.zone});
     sumsFrom_ = steadyNow();
 }
 
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -117,3 +117,35 @@
 }
 
 }  // namespace marldale::gauges
+
+namespace marldale::gauges {
+
+TEST_CASE("A fresh word on disk tells how cold a server still is", "[registry]") {
+    Registry registry({});
+    auto cold = beat("a", 4);
+    cold.set_cold_left(3 * kS);
+    cold.set_heard_ago(kS);
+    registry.hint(10 * kS, cold, kS);
+    CHECK(registry.coldLeft(registry.servers().at("a"), 10 * kS) == kS);
+    registry.hint(10 * kS, beat("b", 4, "10.0.0.2:80"), kS);
+    CHECK(registry.coldLeft(registry.servers().at("b"), 10 * kS) == 0);
+}
+
+TEST_CASE("A server recalled from disk is cold until it beats, and goes if it doesn't", "[registry]") {
+    Registry registry({});
+    registry.hint(10 * kS, beat("a", 4, "10.0.0.1:80"), 60 * kS);
+    registry.hint(10 * kS, beat("b", 4, "10.0.0.2:80"), -kS);
+    CHECK(registry.coldLeft(registry.servers().at("a"), 10 * kS) > 0);
+    CHECK(registry.coldLeft(registry.servers().at("b"), 10 * kS) > 0);
+    CHECK(registry.heard(11 * kS, beat("a", 5, "10.0.0.1:80")) == Registry::News::changed);
+    CHECK(registry.coldLeft(registry.servers().at("a"), 11 * kS) == 0);
+    registry.tick(12 * kS);
+    CHECK(registry.servers().size() == 2);
+    registry.heard(12 * kS + 500000, beat("a", 6, "10.0.0.1:80"));
+    registry.tick(13 * kS);
+    CHECK(registry.servers().size() == 1);
+    registry.hint(13 * kS, beat("a", 99, "10.0.0.1:80"), 0);  // what was heard outweighs it
+    CHECK(registry.servers().at("a").said.call_count() == 6);
+}
+
+}  // namespace marldale::gauges
