A planner that has heard everyone no longer voids the tables of its sluices

Cause: the second whole copy, sent once all beats were heard, voided the module's tables, while the module took them for bound: sluices picked among all servers with equal weights from the fourth second on.

Change: no second copy; servers that empty are told as dropped to whoever may hold them from another planner.

--- a/src/gateway/headworks/headworks.cpp
+++ b/src/gateway/headworks/headworks.cpp
@@ -422,7 +422,9 @@
 }
 
 void Headworks::serversChanged(Micros now) {
-    std::erase_if(wanted_, [&](const auto& at) { return at.first[0] == 'v' && !registry_.servers().count(at.first.substr(2)); });
+    std::erase_if(wanted_, [&](const auto& at) {
+        return (at.first[0] == 'v' || at.first[0] == 'x') && !registry_.servers().count(at.first.substr(2));
+    });
     std::map<std::string, const proto::ServiceLine*> services;
     for (const proto::ServiceLine& service : plans_.configuration().services) services[service.name()] = &service;
     std::vector<aqueduct::ServerSpec> specs;
@@ -433,6 +435,14 @@
         specs.push_back({id, server.said.service(), server.said.zone(), server.said.free_places(), server.said.emptying(), cold});
         if (!server.usable() || service == services.end()) {
             if (wanted_.erase(key) > 0) flushUrgent_ = true;
+            // Said also to a sluice that may hold it from another planner.
+            if (!server.usable() && !wanted_.count("x " + id)) {
+                Wanted gone;
+                gone.line.set_server_drop(id);
+                gone.hash = hashOf(gone.line);
+                wanted_["x " + id] = std::move(gone);
+                flushUrgent_ = true;
+            }
             continue;
         }
         Wanted wanted;
@@ -504,7 +514,7 @@
         put("z " + zone, std::move(line));
     }
     for (auto& [key, wanted] : wanted_) {
-        if (key[0] == 'v') next[key] = std::move(wanted);
+        if (key[0] == 'v' || key[0] == 'x') next[key] = std::move(wanted);
     }
     wanted_ = std::move(next);
     std::vector<aqueduct::ServiceSpec> all;
@@ -710,7 +720,8 @@
             if (hash != 0 && !wanted_.count(key) && !sluice.held.count(key)) dropped.push_back(key);
         }
         for (const std::string& key : dropped) {
-            *orders->add_lines() = dropOf(key);
+            proto::Line drop = dropOf(key);
+            if (drop.what_case() != proto::Line::WHAT_NOT_SET) *orders->add_lines() = std::move(drop);
             sluice.pending[key] = 0;
         }
         if (orders->lines_size() == 0 && sluice.index == plans_.index()) return;
@@ -817,14 +828,6 @@
         nextSweep_ = now + kSweepEvery;
         countSluices(now);
         if (registry_.tick(now)) serversChanged(now);
-        if (!wholeTold_ && whole(now)) {
-            // What was handed out before was a part; now what isn't named is gone.
-            wholeTold_ = true;
-            for (auto& [id, sluice] : sluices_) {
-                sluice.copied = false;
-                sluice.pending.clear();
-            }
-        }
         for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, false);
     }
     work();
--- a/src/gateway/headworks/headworks.h
+++ b/src/gateway/headworks/headworks.h
@@ -155,7 +155,7 @@
     std::map<std::string, std::pair<Micros, std::uint32_t>> sluicesAt_;  // of other headworks: when told, how many
     std::size_t sluicesMost_ = 0;  // of the last half minute: parts that were handed out may still be in use
     Micros sluicesMostAt_ = 0;
-    bool gotWhole_ = false, wholeTold_ = false, stopping_ = false, working_ = false;
+    bool gotWhole_ = false, stopping_ = false, working_ = false;
     std::string lastLeader_;
     Micros nextWord_ = 0, nextNews_ = 0, nextSweep_ = 0, nextHints_ = 0;
     std::uint64_t sinceSnapshot_ = 0;
