Where a table's servers have no room those of other tables are used before anyone is refused

Cause: once the module drew a zone's lines in, a sluice had two servers for downloads with one request each at a time, and refused the third while four servers of other zones idled.

Change: other usable servers come after the table's and before cold ones; six requests for each place of a server over all sluices.

--- a/src/gateway/headworks/parts.cpp
+++ b/src/gateway/headworks/parts.cpp
@@ -6,7 +6,7 @@
 namespace marldale::headworks {
 namespace {
 
-constexpr double kQueueing = 4;           // requests that may be under way at a server for each of its places
+constexpr double kQueueing = 6;           // requests that may be under way at a server for each of its places
 constexpr double kConnectionsUsed = 0.85, kColdUsed = 0.95, kBudgetUsed = 0.85;
 constexpr double kBurstShare = 0.5;       // of the extra tries of a window that may come at once
 
--- a/src/gateway/manifold/tables.cpp
+++ b/src/gateway/manifold/tables.cpp
@@ -305,20 +305,26 @@
     service.stale = false;
     for (std::size_t k = 0; k < kKinds; ++k) {
         auto& made = service.candidates[k];
+        auto& others = service.others[k];
         made.clear();
+        others.clear();
         if (service.bound[k]) {
             const auto table = service.tables.find(*service.bound[k]);
             if (table != service.tables.end()) {
                 for (const ServerPtr& server : service.servers) {
                     if (!server->usable()) continue;
                     const auto weight = table->second.weights.find(server->id);
-                    if (weight == table->second.weights.end()) continue;
+                    if (weight == table->second.weights.end()) {
+                        others.push_back({server, 1});
+                        continue;
+                    }
                     const bool home = defaults_.zone.empty() || server->zone == defaults_.zone;
                     made.push_back({server, weight->second * (home ? 1 : service.abroad[k])});
                 }
             }
         }
         if (!made.empty()) continue;
+        others.clear();
         for (const ServerPtr& server : service.servers) {
             if (server->usable()) made.push_back({server, 1});
         }
@@ -336,22 +342,27 @@
 Pick Tables::pick(Service& service, Kind kind, std::span<const ServerPtr> tried, Micros now) {
     if (service.stale) refresh(service);
     options_.clear();
+    beside_.clear();
     spare_.clear();
     lastResort_.clear();
     bool any = false;
-    for (const Service::Candidate& candidate : service.candidates[static_cast<std::size_t>(kind)]) {
+    const auto sort = [&](const Service::Candidate& candidate, bool tabled) {
         const Server& server = *candidate.server;
-        if (std::find(tried.begin(), tried.end(), candidate.server) != tried.end()) continue;
+        if (std::find(tried.begin(), tried.end(), candidate.server) != tried.end()) return;
         any = true;
-        if (server.inFlightMost != 0 && server.inFlight >= server.inFlightMost) continue;
-        if (server.connectionsMost != 0 && server.inFlight >= server.connectionsMost) continue;
+        if (server.inFlightMost != 0 && server.inFlight >= server.inFlightMost) return;
+        if (server.connectionsMost != 0 && server.inFlight >= server.connectionsMost) return;
         const bool cold = mayBeCold(server, now);
-        if (cold && !server.recent.allows(now, kColdSpan)) continue;
-        if (server.fullUntil > now) continue;
+        if (cold && !server.recent.allows(now, kColdSpan)) return;
+        if (server.fullUntil > now) return;
         const bool shut = !server.gate.open(now);
-        (shut ? lastResort_ : cold ? spare_ : options_).push_back(&candidate);
+        (shut ? lastResort_ : cold ? spare_ : tabled ? options_ : beside_).push_back(&candidate);
+    };
+    for (const Service::Candidate& candidate : service.candidates[static_cast<std::size_t>(kind)]) sort(candidate, true);
+    if (options_.empty()) {
+        for (const Service::Candidate& candidate : service.others[static_cast<std::size_t>(kind)]) sort(candidate, false);
     }
-    const auto& from = !options_.empty() ? options_ : !spare_.empty() ? spare_ : lastResort_;
+    const auto& from = !options_.empty() ? options_ : !beside_.empty() ? beside_ : !spare_.empty() ? spare_ : lastResort_;
     if (from.empty()) return {any ? Room::full : Room::none, nullptr};
     if (from.size() == 1) return {Room::found, from.front()->server};
     double sum = 0;
--- a/src/gateway/manifold/tables.h
+++ b/src/gateway/manifold/tables.h
@@ -100,6 +100,7 @@
         double weight = 0;
     };
     std::array<std::vector<Candidate>, kKinds> candidates;  // those usable, made anew where `stale`
+    std::array<std::vector<Candidate>, kKinds> others;      // usable, but without a line in the bound table
     bool stale = true;
 };
 
@@ -150,8 +151,8 @@
     Service& serviceOf(const Route& route);
     // By its level, if one binds this class: whether one more is let in now.
     [[nodiscard]] bool admit(Service& service, Kind kind, Micros now);
-    // Two are drawn by weight, and the one that is less busy for its weight is taken. Cold ones only where no
-    // warm one has room, those behind a shut gate only as a last resort.
+    // Two are drawn by weight, and the one that is less busy for its weight is taken. Where none of the table's
+    // has room: those of other tables (another zone's), then cold ones, then those behind a shut gate.
     Pick pick(Service& service, Kind kind, std::span<const ServerPtr> tried, Micros now);
     // Whether a cold limit lets one more go there now; `sent` counts it.
     [[nodiscard]] bool mayBeCold(const Server& server, Micros now) const;
@@ -195,7 +196,7 @@
     bool stranded_ = false;
     Defaults defaults_;
     Draw draw_{1};
-    std::vector<const Service::Candidate*> options_, spare_, lastResort_;  // of one pick
+    std::vector<const Service::Candidate*> options_, beside_, spare_, lastResort_;  // of one pick
 };
 
 }  // namespace marldale::manifold
