The decision module split by concern; distribution generic over what a line holds

Need: policy.cpp was one struct of 974 lines, and the gateway needs the same distribution (hashes of acknowledged lines, marks, merge, timeout, cap, fresh copies) for lines that are no weights.

Change: each concern is a part with its own state and tuned values: servers.h (states, slow start, columns), health.h (ejection), weights.h (slowness, spread, flows), levels.h (levels, further tries), tables.h (what the planner's tables say, pacer, withdrawals), joins.h, slices.h; policy.cpp puts them together. distribution.h is a template over keys, values, places and proxies; its user gives it a port that says what a table should say and carries orders out. What it holds (hashes, marks, seats) is held_lines.h, bookkeeping like state.h. Notes of facts (list taken over, open zones, cost of tables, sums noted) went from the old struct to state.h; no decision and no tuned value did. tests/policy/distribution_test.cpp drives it with names and texts, among it 5,000 random steps.

--- /dev/null
+++ b/src/policy/held_lines.h
@@ -0,0 +1,144 @@
+// What the proxies bound to one table hold of it, as hashes, whatever its lines say: what they have
+// acknowledged, and what was sent under a mark that some have not answered yet. Bookkeeping: nothing here
+// decides.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "policy/types.h"
+
+namespace marldale {
+
+using Hash = std::uint64_t;  // of what a line says; 0 stands for "no such line"
+
+template <class Key, class Place, class Proxy>
+struct HeldLines {
+    Place place{};      // which table this is, to those who know what it should say
+    bool copy = false;  // beside the main table of its place
+    std::map<Key, Hash> acked{}, pending{};
+    std::uint64_t markTurn = 0;
+    Micros markedAt = 0, madeAt = 0;
+    std::set<Proxy> bound{}, unanswered{};
+
+    [[nodiscard]] double lines() const { return static_cast<double>(acked.size() + pending.size()); }
+    [[nodiscard]] Hash held(const Key& key) const {
+        if (const auto p = pending.find(key); p != pending.end()) return p->second;
+        const auto a = acked.find(key);
+        return a == acked.end() ? 0 : a->second;
+    }
+    // The keys of lines that are held and that `wanted` does not have.
+    template <class Content>
+    [[nodiscard]] std::set<Key> unwanted(const Content& wanted) const {
+        std::set<Key> keys;
+        for (const auto* lines : {&acked, &pending}) {
+            for (const auto& [key, hash] : *lines) {
+                if (!wanted.count(key) && held(key) != 0) keys.insert(key);
+            }
+        }
+        return keys;
+    }
+    void mark(std::uint64_t turn, Micros now, const std::set<Proxy>& by) {
+        markTurn = turn;
+        markedAt = now;
+        unanswered.insert(by.begin(), by.end());
+    }
+    void answer(const Proxy& proxy) {
+        unanswered.erase(proxy);
+        if (unanswered.empty()) settle();
+    }
+    void settle() {  // an answer moves marked lines into the acknowledged hashes
+        for (const auto& [key, hash] : pending) {
+            acked[key] = hash;
+            if (hash == 0) acked.erase(key);
+        }
+        pending.clear();
+        unanswered.clear();
+    }
+};
+
+// The tables, which of them are main, and of each proxy its tables and the marks that it has not answered.
+template <class Key, class Place, class Proxy>
+struct TableStore {
+    using Table = HeldLines<Key, Place, Proxy>;
+    struct Seat {
+        std::map<std::size_t, TableId> tables{};  // by slot
+        std::deque<std::uint64_t> marks{};        // turns that it has been sent and has not answered
+    };
+    std::map<TableId, Table> tables{};
+    std::map<Place, TableId> mains{};
+    std::map<Proxy, Seat> seats{};
+    TableId last = 0;
+
+    TableId add(const Place& place, bool copy, Micros now) {
+        do {
+            last = static_cast<TableId>(last % (kAllTables - 1) + 1);
+        } while (tables.count(last));
+        Table& t = tables[last];
+        t.place = place;
+        t.copy = copy;
+        t.madeAt = now;
+        return last;
+    }
+    [[nodiscard]] bool anyHolds(const Key& key) const {
+        return std::any_of(tables.begin(), tables.end(),
+                           [&](const auto& t) { return t.second.held(key) != 0; });
+    }
+    void release(const Proxy& p, TableId table) {
+        const auto at = tables.find(table);
+        if (at == tables.end()) return;
+        at->second.bound.erase(p);
+        at->second.answer(p);
+    }
+    // The proxies of each table that holds such a line, table by table.
+    [[nodiscard]] std::vector<Proxy> holders(const Key& key) const {
+        std::vector<Proxy> out;
+        for (const auto& [id, t] : tables) {
+            if (t.held(key) != 0) out.insert(out.end(), t.bound.begin(), t.bound.end());
+        }
+        return out;
+    }
+    // Tables with a mark of that time or before that some have not answered, and who has not.
+    [[nodiscard]] std::vector<std::pair<TableId, std::set<Proxy>>> unanswered(Micros since) const {
+        std::vector<std::pair<TableId, std::set<Proxy>>> out;
+        for (const auto& [id, t] : tables) {
+            if (!t.unanswered.empty() && t.markedAt <= since) out.emplace_back(id, t.unanswered);
+        }
+        return out;
+    }
+    void leave(const Proxy& p) {
+        for (const auto& [slot, table] : seats[p].tables) release(p, table);
+        seats.erase(p);
+    }
+    // An answer stands for all marks before it; the wire may carry only these bits of a mark. Tells the turn
+    // that it answers, if any, and whether a table's wait is over.
+    struct Answer {
+        std::optional<std::uint64_t> turn{};
+        bool over = false;
+    };
+    Answer answer(const Proxy& p, std::uint64_t mark, std::uint64_t bits = ~std::uint64_t{0}) {
+        const auto at = seats.find(p);
+        if (at == seats.end()) return {};
+        auto& marks = at->second.marks;
+        const auto hit =
+            std::find_if(marks.begin(), marks.end(), [&](std::uint64_t t) { return (t & bits) == mark; });
+        if (hit == marks.end()) return {};
+        Answer out{*hit, false};
+        marks.erase(marks.begin(), hit + 1);
+        for (const auto& [slot, id] : at->second.tables) {
+            const auto t = tables.find(id);
+            if (t == tables.end() || *out.turn < t->second.markTurn) continue;
+            t->second.answer(p);
+            out.over = out.over || t->second.unanswered.empty();
+        }
+        return out;
+    }
+};
+
+}  // namespace marldale
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -1,5 +1,5 @@
 // What a planner remembers: plain records and their bookkeeping. No decision
-// and no tuned value lives here; policy.cpp has them all.
+// and no tuned value lives here; the parts (policy.cpp names them) have them all.
 #pragma once
 
 #include <algorithm>
@@ -13,6 +13,7 @@
 #include <tuple>
 #include <vector>
 
+#include "policy/held_lines.h"
 #include "policy/types.h"
 
 namespace marldale {
@@ -44,8 +45,7 @@
     ZoneId zone = 0;
     double rate = 0;  // as told when it joined
     std::size_t column = 0;
-    std::vector<TableId> tables;      // by group
-    std::deque<std::uint64_t> marks;  // turns it has been sent and has not answered
+    bool bound = false;  // to tables of ours
 };
 
 inline std::ptrdiff_t readyIn(const std::map<ServerId, Server>& fleet) {
@@ -107,7 +107,6 @@
 
 // ---- Tables ----
 
-using Hash = std::uint64_t;
 using Key = std::uint64_t;  // a server's id, or kLevelKey + class
 inline constexpr Key kLevelKey = Key{1} << 32U;
 
@@ -121,71 +120,16 @@
 inline Hash hashOf(const Entry& e) {
     return (static_cast<Hash>(std::llround(static_cast<double>(e.value) * 4096)) << 8U | e.mode) + 1;
 }
+// The order that sets a line, or removes it where it says nothing.
+inline Action orderOf(TableId id, Key key, const Entry* e) {
+    if (key < kLevelKey) return SetLine{id, static_cast<ServerId>(key), e != nullptr ? e->value : 0};
+    return SetLevel{id, e->value, static_cast<ClassMask>(1U << (key - kLevelKey)), e->mode};
+}
 inline double valueOf(Hash hash) { return hash == 0 ? 0 : static_cast<double>((hash - 1) >> 8U) / 4096; }
 
-struct Change {
-    double worth = 0;  // what goes first where not all fits
-    Key key = 0;
-    Entry entry;
-    [[nodiscard]] bool removes() const { return key < kLevelKey && entry.value <= 0; }
-    [[nodiscard]] Action order(TableId id) const {
-        if (key < kLevelKey) return SetLine{id, static_cast<ServerId>(key), entry.value};
-        return SetLevel{id, entry.value, static_cast<ClassMask>(1U << (key - kLevelKey)), entry.mode};
-    }
-};
-
 using Place = std::tuple<ZoneId, std::size_t,
                          std::size_t>;  // a table's zone, group and column
 
-struct Table {
-    ZoneId zone = 0;
-    std::size_t group = 0, column = 0;
-    bool copy = false;
-    std::map<Key, Hash> acked,
-        pending;  // hashes of answered lines, and of those under an open mark
-    std::uint64_t markTurn = 0;
-    Micros markedAt = 0, madeAt = 0;
-    std::set<ProxyId> bound, unanswered;
-
-    [[nodiscard]] Place place() const { return {zone, group, column}; }
-    [[nodiscard]] double lines() const { return static_cast<double>(acked.size() + pending.size()); }
-    [[nodiscard]] Hash held(Key key) const {
-        if (const auto p = pending.find(key); p != pending.end()) return p->second;
-        const auto a = acked.find(key);
-        return a == acked.end() ? 0 : a->second;
-    }
-    [[nodiscard]] std::vector<Key> heldServers() const {
-        std::set<Key> keys;
-        for (const auto* lines : {&acked, &pending}) {
-            for (const auto& [key, hash] : *lines) {
-                if (key < kLevelKey && held(key) != 0) keys.insert(key);
-            }
-        }
-        return {keys.begin(), keys.end()};
-    }
-    void mark(std::uint64_t turn, Micros now, const std::set<ProxyId>& by) {
-        markTurn = turn;
-        markedAt = now;
-        unanswered.insert(by.begin(), by.end());
-    }
-    void answer(ProxyId proxy) {
-        unanswered.erase(proxy);
-        if (unanswered.empty()) settle();
-    }
-    void settle() {  // an answer moves marked lines into the acknowledged hashes
-        for (const auto& [key, hash] : pending) {
-            acked[key] = hash;
-            if (hash == 0) acked.erase(key);
-        }
-        pending.clear();
-        unanswered.clear();
-    }
-};
-
-inline bool anyHolds(const std::map<TableId, Table>& tables, ServerId id) {
-    return std::any_of(tables.begin(), tables.end(), [&](const auto& t) { return t.second.held(id) != 0; });
-}
-
 // The columns that each zone's servers are dealt into, with what is asked of them and what they can do.
 struct Columns {
     std::vector<std::vector<ServerId>> members;
@@ -240,6 +184,12 @@
         Micros at = 0;  // up to when it is told
     };
     std::map<std::pair<ProxyId, std::size_t>, Demand> rates;
+    void note(const ProxyDemand& d, Micros now, double gain) {
+        Demand& mine = rates[{d.proxy, d.klass}];
+        const double rate = d.came * static_cast<double>(kSecond) / static_cast<double>(d.period);
+        mine.rate += (mine.rate > 0 ? gain : 1) * (rate - mine.rate);
+        mine.at = now;
+    }
     // Nobody reports that nothing came: a span without a word counts as one without a request.
     void fade(Micros now, Micros every, Micros late, double gain) {
         for (auto& [key, d] : rates) {
@@ -272,11 +222,9 @@
 // What may still wait is therefore counted, not guessed, whatever the channel's speed.
 class Channel {
 public:
-    // Books lines to a proxy; true if it gets a message of its own this turn, which costs `head` more.
-    bool write(ProxyId proxy, double lines, double head) {
-        const bool first = written_.insert(proxy).second;
-        turn_ += lines + (first ? head : 0);
-        return first;
+    // Books lines to a proxy; the first of a turn make a message, which costs `head` more.
+    void write(ProxyId proxy, double lines, double head) {
+        turn_ += lines + (written_.insert(proxy).second ? head : 0);
     }
     void close(std::uint64_t turn, Micros now) {
         if (turn_ > 0) sent_.push_back({turn, now, turn_});
@@ -329,6 +277,10 @@
         time += static_cast<double>(r.meanTime) * (r.tries - bad) + bad * failedTime;
         seconds += static_cast<double>(r.period) / kSecond;
     }
+    void note(const ServerSums& r, Micros now, double halfLifeS, double failedTime) {
+        fade(now, halfLifeS);
+        add(r, failedTime);
+    }
     void add(const Tally& t) {
         tries += t.tries;
         failed += t.failed;
@@ -344,6 +296,9 @@
     Fit fit = Fit::ok;
     Micros until = 0, countFrom = 0;
     Tally seen;
+    void note(const ServerSums& r, Micros now, double halfLifeS, double failedTime) {
+        if (now >= countFrom) seen.note(r, now, halfLifeS, failedTime);
+    }
 };
 
 // What a zone's table holds of the other zones' lines.
@@ -367,4 +322,75 @@
     return used;
 }
 
+// What every part looks at: settings, the moment, the servers and proxies that are known, and the orders of
+// the turn.
+namespace policy {
+struct View {
+    const Settings set;
+    const std::vector<Group> groups = groupsOf(set.classes);
+    const double aim = tightestAim(set.classes);
+    Micros now = 0;
+    std::vector<Action> out{};
+    std::map<ServerId, Server> fleet{};
+    std::set<ServerId>
+        shut{};  // withdrawn and gone: should one come back under its old id, it has to be let back
+    std::map<ProxyId, Proxy> proxies{};
+    Columns columns{};
+    bool dear =
+        false;  // lines are; decided with the columns, of which there are several: not changed under load
+
+    [[nodiscard]] Micros age(const Server& s) const {
+        return s.entry.bootTime == 0 ? set.warmUp : std::max<Micros>(0, now - s.entry.bootTime);
+    }
+    [[nodiscard]] bool warm(const Server& s) const { return age(s) >= set.warmUp; }
+    // Takes over what the list says; tells which servers have started anew.
+    std::vector<ServerId> take(const ListNews& news) {
+        std::set<ServerId> named;
+        std::vector<ServerId> restarted;
+        for (const ListEntry& entry : news.entries) {
+            named.insert(entry.server);
+            Server& s = fleet[entry.server];
+            s.withdrawn = s.withdrawn || shut.erase(entry.server) > 0;
+            if (entry.bootTime > s.entry.bootTime) restarted.push_back(entry.server);
+            s.entry = entry;
+        }
+        if (news.kind == ListNewsKind::delta) return restarted;
+        for (auto& [id, server] : fleet) {
+            if (!named.count(id)) server.entry.state = ServerState::gone;  // not in a whole list
+        }
+        return restarted;
+    }
+    // By group: zones with a warm server.
+    [[nodiscard]] std::vector<std::set<ZoneId>> openZones() const {
+        std::vector<std::set<ZoneId>> open(groups.size());
+        for (const auto& [id, s] : fleet) {
+            for (std::size_t g = 0; g < groups.size(); ++g) {
+                if (s.ready() && warm(s) && groups[g].opens(s.entry.zone)) open[g].insert(s.entry.zone);
+            }
+        }
+        return open;
+    }
+    void noteLoads(const Demands& demands) {
+        columns.loads.clear();
+        for (const auto& [at, d] : demands.rates) {
+            const Proxy& p = proxies.at(at.first);
+            if (p.bound) columns.loads[{p.zone, p.column}] += d.rate;
+        }
+    }
+    // At most: the bind, the lines and the levels of one table.
+    [[nodiscard]] double tableLines(std::size_t servers) const {
+        return 1 + static_cast<double>(servers + set.classes.size());
+    }
+    [[nodiscard]] double tableLines() const {
+        return tableLines(columns.members.empty() ? fleet.size() : columns.members.front().size());
+    }
+    // Seconds of channel that it takes to send every proxy its tables anew.
+    [[nodiscard]] double tableCost(double lines) const {
+        const double mine = std::max(static_cast<double>(proxies.size()),
+                                     static_cast<double>(set.proxies) / std::max(1U, set.planners));
+        return mine * static_cast<double>(groups.size()) * (lines + set.envelopeLines) / set.pushRate;
+    }
+};
+}  // namespace policy
+
 }  // namespace marldale
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -1,4 +1,4 @@
-// Every figure that the sockets need, with where it comes from. Decisions have theirs in policy.cpp.
+// Every figure that the sockets need, with where it comes from. Decisions have theirs in src/policy.
 #pragma once
 
 #include "transport/loop.h"
