--- a/src/gateway/headworks/headworks.cpp
+++ b/src/gateway/headworks/headworks.cpp
@@ -23,7 +23,6 @@
 constexpr Micros kSweepEvery = 500000;
 constexpr Micros kDialWithin = 400000, kDialAgain = 250000;
 constexpr Micros kStarting = 3000000, kDialAgainStarting = 60000;  // after a start everyone is looked for
-constexpr Micros kMarkTimeout = 500000;      // an unanswered mark holds later changes this long
 constexpr Micros kSureWithin = 1500000;      // an older view of the log hands out no copies
 constexpr Micros kChangeWithin = 2500000, kReadWithin = 900000, kLeaderWithin = 800000, kTellWithin = 700000;
 constexpr Micros kOthersKept = 5000000, kMostKept = 30000000;
@@ -59,19 +58,6 @@
 }
 std::uint64_t markOfLines(std::uint64_t mark) { return mark * 2; }
 std::uint64_t markOfModules(std::uint64_t mark) { return mark * 2 + 1; }
-// The line that takes back what a key stands for.
-proto::Line dropOf(const std::string& key) {
-    proto::Line out;
-    switch (key[0]) {
-        case 'r': out.set_route_drop(key.substr(2)); break;
-        case 's': out.set_service_drop(key.substr(2)); break;
-        case 'v': out.set_server_drop(key.substr(2)); break;
-        case 'z': out.set_zone_filled(key.substr(2)); break;
-        default: break;
-    }
-    return out;
-}
-
 }  // namespace
 
 Headworks::Headworks(boost::asio::io_context& io, settings::Settings settings)
@@ -209,6 +195,7 @@
     sluiceOf_.erase(at->second.link.get());
     sluices_.erase(at);
     steering_.leave(id);
+    book_.leave(id);
 }
 
 void Headworks::dialPeers(Micros now) {
@@ -293,21 +280,12 @@
         case proto::Frame::kAnswer: {
             const auto id = sluiceOf_.find(link.get());
             if (id == sluiceOf_.end()) break;
-            Sluice& sluice = sluices_.at(id->second);
             const std::uint64_t mark = frame.answer().mark();
             if (mark % 2 == 1) {
                 steering_.answered(id->second, mark / 2, 0);
-            } else if (mark / 2 == sluice.mark) {
-                for (const auto& [key, hash] : sluice.pending) {
-                    if (hash == 0) {
-                        sluice.held.erase(key);
-                    } else {
-                        sluice.held[key] = hash;
-                    }
-                }
-                sluice.pending.clear();
-                sluice.mark = 0;
-                flushTo(id->second, sluice, now, false);
+            } else {
+                book_.answered(id->second, mark / 2);
+                flushDue_ = true;
             }
             break;
         }
@@ -422,7 +400,7 @@
 }
 
 void Headworks::serversChanged(Micros now) {
-    std::erase_if(wanted_, [&](const auto& at) {
+    std::erase_if(book_.wanted, [&](const auto& at) {
         return (at.first[0] == 'v' || at.first[0] == 'x') && !registry_.servers().count(at.first.substr(2));
     });
     std::map<std::string, const proto::ServiceLine*> services;
@@ -434,18 +412,18 @@
         const Micros cold = registry_.coldLeft(server, now);
         specs.push_back({id, server.said.service(), server.said.zone(), server.said.free_places(), server.said.emptying(), cold});
         if (!server.usable() || service == services.end()) {
-            if (wanted_.erase(key) > 0) flushUrgent_ = true;
+            book_.wanted.erase(key);
             // Said also to a sluice that may hold it from another planner.
-            if (!server.usable() && !wanted_.count("x " + id)) {
-                Wanted gone;
+            if (!server.usable() && !book_.wanted.count("x " + id)) {
+                aqueduct::Wanted gone;
                 gone.line.set_server_drop(id);
                 gone.hash = hashOf(gone.line);
-                wanted_["x " + id] = std::move(gone);
-                flushUrgent_ = true;
+                gone.urgent = true;
+                book_.wanted["x " + id] = std::move(gone);
             }
             continue;
         }
-        Wanted wanted;
+        aqueduct::Wanted wanted;
         auto* line = wanted.line.mutable_server();
         line->set_id(id);
         line->set_service(server.said.service());
@@ -458,8 +436,7 @@
         line->set_cold_most(parts.cold);
         wanted.hash = hashOf(wanted.line, static_cast<std::uint64_t>(cold > 0 ? server.coldUntil / 100000 : 0));
         wanted.urgent = cold > 0;
-        if (const auto before = wanted_.find(key); before != wanted_.end() && before->second.hash == wanted.hash) continue;
-        wanted_[key] = std::move(wanted);
+        book_.wanted[key] = std::move(wanted);
     }
     steering_.servers(now, specs);
     flushDue_ = true;
@@ -468,10 +445,11 @@
 // ---- Plans ----
 
 void Headworks::plansChanged(Micros now) {
-    std::map<std::string, Wanted> next;
+    std::map<std::string, aqueduct::Wanted> next;
     const auto put = [&](std::string key, proto::Line line) {
-        Wanted wanted;
+        aqueduct::Wanted wanted;
         wanted.hash = hashOf(line);
+        wanted.urgent = key[0] == 'z';
         wanted.line = std::move(line);
         next[std::move(key)] = std::move(wanted);
     };
@@ -513,10 +491,10 @@
         line.set_zone_empty(zone);
         put("z " + zone, std::move(line));
     }
-    for (auto& [key, wanted] : wanted_) {
+    for (auto& [key, wanted] : book_.wanted) {
         if (key[0] == 'v' || key[0] == 'x') next[key] = std::move(wanted);
     }
-    wanted_ = std::move(next);
+    book_.wanted = std::move(next);
     std::vector<aqueduct::ServiceSpec> all;
     for (auto& [name, spec] : specs) all.push_back(std::move(spec));
     steering_.services(all);
@@ -565,7 +543,6 @@
                 if (!plans_.emptied().count(zone)) registry_.chilled(now, zone, warmUp);
             }
             plansChanged(now);
-            flushUrgent_ = true;
             log::info("change_in_force", {{"index", entry.index()}, {"version", plans_.configuration().version}});
         }
         if (++sinceSnapshot_ >= kSnapshotEvery) {
@@ -639,7 +616,7 @@
         for (Held& held : again) order(std::move(held), steadyNow());
     }
     const Micros now = steadyNow();
-    if (flushDue_ || flushUrgent_) flush(now, flushUrgent_);
+    if (flushDue_) flush(now);
     runModules(now);
     working_ = false;
     arm();
@@ -666,72 +643,44 @@
     }
     log::info("sluice_came", {{"sluice", hello.self().node()}, {"index", hello.index()}});
     countSluices(now);
-    flushTo(id, sluice, now, true);
+    flushDue_ = true;
     steering_.join(id, hello.self().zone(), kUsualRate);
     nextWord_ = now;
 }
 
-void Headworks::flush(Micros now, bool urgent) {
-    flushDue_ = flushUrgent_ = false;
-    for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, urgent);
+void Headworks::admit(aqueduct::SluiceId id, Sluice& sluice, Micros now) {
+    if (sluice.joined || plans_.index() == 0 || plans_.index() < sluice.index) return;  // it knows better
+    const Micros sure = replica_->sureAge(now);
+    if (sure < 0 || sure > kSureWithin) return;
+    sluice.joined = true;
+    book_.join(id, sluice.peer.zone());
 }
 
-void Headworks::flushTo(aqueduct::SluiceId /*id*/, Sluice& sluice, Micros now, bool urgent) {
-    if (plans_.index() == 0 || plans_.index() < sluice.index) return;  // it knows better
-    proto::Frame frame;
-    auto* orders = frame.mutable_orders();
-    const auto add = [&](const Wanted& wanted) {
-        proto::Line* line = orders->add_lines();
-        *line = wanted.line;
-        if (line->has_server()) {
-            const auto at = registry_.servers().find(line->server().id());
-            if (at != registry_.servers().end()) line->mutable_server()->set_cold_for(registry_.coldLeft(at->second, now));
-        }
-    };
-    if (!sluice.copied) {
-        const Micros sure = replica_->sureAge(now);
-        if (sure < 0 || sure > kSureWithin) return;
-        orders->set_fresh(true);
-        orders->set_servers_whole(whole(now));
-        for (const auto& [key, wanted] : wanted_) {
-            add(wanted);
-            sluice.pending[key] = wanted.hash;
-        }
-        sluice.held.clear();
-        sluice.copied = true;
-    } else {
-        if (sluice.mark != 0 && !urgent && now - sluice.markAt < kMarkTimeout) return;  // waits, and merges into the next difference
-        const auto holds = [&](const std::string& key) -> std::uint64_t {
-            const auto pending = sluice.pending.find(key);
-            if (pending != sluice.pending.end()) return pending->second;
-            const auto held = sluice.held.find(key);
-            return held == sluice.held.end() ? 0 : held->second;
-        };
-        for (const auto& [key, wanted] : wanted_) {
-            if (holds(key) == wanted.hash) continue;
-            add(wanted);
-            sluice.pending[key] = wanted.hash;
-        }
-        std::vector<std::string> dropped;
-        for (const auto& [key, hash] : sluice.held) {
-            if (!wanted_.count(key) && holds(key) != 0) dropped.push_back(key);
-        }
-        for (const auto& [key, hash] : sluice.pending) {
-            if (hash != 0 && !wanted_.count(key) && !sluice.held.count(key)) dropped.push_back(key);
+void Headworks::flush(Micros now) {
+    flushDue_ = false;
+    for (auto& [id, sluice] : sluices_) admit(id, sluice, now);
+    for (auto& [id, batch] : book_.turn(now)) {
+        const auto at = sluices_.find(id);
+        if (at == sluices_.end()) continue;
+        proto::Frame frame;
+        auto* orders = frame.mutable_orders();
+        orders->set_mark(markOfLines(batch.mark));
+        orders->set_fresh(batch.fresh);
+        orders->set_servers_whole(batch.fresh && whole(now));
+        if (batch.whole) {
+            orders->set_index(plans_.index());
+            at->second.index = plans_.index();
         }
-        for (const std::string& key : dropped) {
-            proto::Line drop = dropOf(key);
-            if (drop.what_case() != proto::Line::WHAT_NOT_SET) *orders->add_lines() = std::move(drop);
-            sluice.pending[key] = 0;
+        for (proto::Line& line : batch.lines) {
+            if (line.has_server()) {
+                // Cold times are spans from now, so they are filled in as the line goes out.
+                const auto server = registry_.servers().find(line.server().id());
+                if (server != registry_.servers().end()) line.mutable_server()->set_cold_for(registry_.coldLeft(server->second, now));
+            }
+            *orders->add_lines() = std::move(line);
         }
-        if (orders->lines_size() == 0 && sluice.index == plans_.index()) return;
+        at->second.link->send(frame);
     }
-    sluice.index = plans_.index();
-    sluice.mark = ++lastMark_;
-    sluice.markAt = now;
-    orders->set_mark(markOfLines(sluice.mark));
-    orders->set_index(plans_.index());
-    sluice.link->send(frame);
 }
 
 void Headworks::runModules(Micros now) {
@@ -828,7 +777,7 @@
         nextSweep_ = now + kSweepEvery;
         countSluices(now);
         if (registry_.tick(now)) serversChanged(now);
-        for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, false);
+        flushDue_ = true;
     }
     work();
 }
@@ -885,7 +834,7 @@
         json.Key("index");
         json.Uint64(sluice.index);
         json.Key("unanswered");
-        json.Bool(sluice.mark != 0);
+        json.Bool(book_.unanswered(id));
         json.EndObject();
     }
     json.EndArray();
--- a/src/gateway/headworks/headworks.h
+++ b/src/gateway/headworks/headworks.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "gateway/aqueduct/line_book.h"
 #include "gateway/aqueduct/steering.h"
 #include "gateway/confluence/view.h"
 #include "gateway/gauges/registry.h"
@@ -56,18 +57,9 @@
     struct Sluice {
         std::shared_ptr<links::Link> link;
         proto::Peer peer;
-        bool copied = false;                           // it has had its fresh copy
-        std::map<std::string, std::uint64_t> held;     // hash by key: acknowledged
-        std::map<std::string, std::uint64_t> pending;  // under the unanswered mark; 0: dropped
-        std::uint64_t mark = 0;                        // 0: none is unanswered
-        Micros markAt = 0;
+        bool joined = false;      // the lines' distribution has it
         std::uint64_t index = 0;  // of the configuration it holds
     };
-    struct Wanted {
-        std::uint64_t hash = 0;
-        proto::Line line;  // servers' cold times are filled in when it is sent
-        bool urgent = false;
-    };
     struct Waiting {  // a call that waits for its change
         ledger::Term term = 0;
         Answer answer;
@@ -110,8 +102,8 @@
 
     void serversChanged(Micros now);
     void plansChanged(Micros now);
-    void flush(Micros now, bool urgent);
-    void flushTo(aqueduct::SluiceId id, Sluice& sluice, Micros now, bool urgent);
+    void admit(aqueduct::SluiceId id, Sluice& sluice, Micros now);
+    void flush(Micros now);
     void runModules(Micros now);
     void sendWord(Micros now);
     void countSluices(Micros now);
@@ -141,9 +133,8 @@
     std::map<aqueduct::SluiceId, Sluice> sluices_;
     std::map<const links::Link*, aqueduct::SluiceId> sluiceOf_;
     aqueduct::SluiceId lastSluice_ = 0;
-    std::map<std::string, Wanted> wanted_;
-    std::uint64_t lastMark_ = 0;
-    bool flushDue_ = false, flushUrgent_ = false;
+    aqueduct::LineBook book_;
+    bool flushDue_ = false;
 
     std::multimap<ledger::Index, Waiting> waiting_;
     std::map<std::uint64_t, Reading> reading_;
--- /dev/null
+++ b/tests/gateway/line_book_test.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "gateway/aqueduct/line_book.h"
+
+namespace marldale::aqueduct {
+namespace {
+
+Wanted route(const std::string& host, unsigned tries, bool urgent = false) {
+    Wanted out;
+    out.line.mutable_route()->set_host_name(host);
+    out.line.mutable_route()->set_path_start("/");
+    out.line.mutable_route()->set_tries(tries);
+    out.hash = tries * 2 + 1;
+    out.urgent = urgent;
+    return out;
+}
+std::string keyOf(const std::string& host) { return "r " + host + " /"; }
+
+// A sluice as the lines paint it.
+struct Held {
+    std::map<std::string, unsigned> routes;
+    void take(const LineBook::Batch& batch) {
+        if (batch.fresh) routes.clear();
+        for (const proto::Line& line : batch.lines) {
+            if (line.has_route()) routes[line.route().host_name()] = line.route().tries();
+            if (line.what_case() == proto::Line::kRouteDrop) routes.erase(line.route_drop().substr(0, line.route_drop().find(' ')));
+        }
+    }
+};
+
+}  // namespace
+
+TEST_CASE("Only what differs goes out, and further changes wait for the answer and merge", "[line_book]") {
+    LineBook book;
+    book.wanted[keyOf("a")] = route("a", 1);
+    book.wanted[keyOf("b")] = route("b", 1);
+    book.join(1, "north");
+    auto first = book.turn(1000);
+    REQUIRE(first.at(1).fresh);
+    REQUIRE(first.at(1).whole);
+    REQUIRE(first.at(1).lines.size() == 2);
+    book.answered(1, first.at(1).mark);
+    REQUIRE(book.turn(2000).empty());
+    book.wanted[keyOf("a")] = route("a", 2);
+    const auto second = book.turn(3000);
+    REQUIRE(second.at(1).lines.size() == 1);
+    book.wanted[keyOf("a")] = route("a", 3);
+    book.wanted.erase(keyOf("b"));
+    REQUIRE(book.turn(4000).empty());  // it waits
+    book.wanted[keyOf("a")] = route("a", 4);
+    book.answered(1, second.at(1).mark);
+    const auto third = book.turn(5000);
+    REQUIRE(third.at(1).lines.size() == 2);
+    CHECK(third.at(1).lines[0].has_route() != third.at(1).lines[1].has_route());
+}
+
+TEST_CASE("What is urgent skips the wait, and takes along what waited", "[line_book]") {
+    LineBook book;
+    book.wanted[keyOf("a")] = route("a", 1);
+    book.join(1, "north");
+    (void)book.turn(1000);
+    book.wanted[keyOf("a")] = route("a", 2);
+    REQUIRE(book.turn(2000).empty());
+    book.wanted[keyOf("b")] = route("b", 1, true);
+    CHECK(book.turn(3000).at(1).lines.size() == 2);
+}
+
+TEST_CASE("One that stays silent holds the others up no longer than the timeout", "[line_book]") {
+    LineBook book;
+    book.wanted[keyOf("a")] = route("a", 1);
+    book.join(1, "north");
+    book.join(2, "north");
+    auto first = book.turn(1000);
+    book.answered(1, first.at(1).mark);
+    book.wanted[keyOf("a")] = route("a", 2);
+    std::size_t told = 0;
+    for (Micros now = 2000; now < 1200000 && told == 0; now += 50000) told = book.turn(now).count(1);
+    CHECK(told == 1);
+}
+
+TEST_CASE("Whatever is lost in between, everyone ends with all that is wanted and nothing else", "[line_book]") {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        std::mt19937_64 draw(seed);
+        LineBook book;
+        std::map<SluiceId, Held> held;
+        std::map<SluiceId, std::vector<std::uint64_t>> marks;
+        SluiceId last = 0;
+        Micros now = 0;
+        const auto step = [&](bool answerAll) {
+            now += 100000;
+            for (const auto& [sluice, batch] : book.turn(now)) {
+                REQUIRE(batch.mark != 0);
+                held[sluice].take(batch);
+                marks[sluice].push_back(batch.mark);
+            }
+            for (auto& [sluice, open] : marks) {
+                if (open.empty() || (!answerAll && draw() % 3 != 0)) continue;
+                const std::size_t upTo = answerAll ? open.size() : 1 + draw() % open.size();
+                book.answered(sluice, open[upTo - 1]);
+                open.erase(open.begin(), open.begin() + static_cast<std::ptrdiff_t>(upTo));
+            }
+        };
+        for (int i = 0; i < 120; ++i) {
+            const std::string host(1, static_cast<char>('a' + draw() % 12));
+            switch (draw() % 6) {
+                case 0: book.wanted.erase(keyOf(host)); break;
+                case 1:
+                    book.join(++last, draw() % 2 == 0 ? "north" : "south");
+                    held[last];
+                    break;
+                case 2:
+                    if (!held.empty() && draw() % 2 == 0) {
+                        const SluiceId leaves = held.begin()->first;
+                        book.leave(leaves);
+                        held.erase(leaves);
+                        marks.erase(leaves);
+                    }
+                    break;
+                default: book.wanted[keyOf(host)] = route(host, 1 + static_cast<unsigned>(draw() % 5), draw() % 4 == 0);
+            }
+            step(false);
+        }
+        for (int i = 0; i < 60; ++i) step(true);
+        std::map<std::string, unsigned> wanted;
+        for (const auto& [key, line] : book.wanted) wanted[line.line.route().host_name()] = line.line.route().tries();
+        for (const auto& [sluice, has] : held) REQUIRE(has.routes == wanted);
+    }
+}
+
+}  // namespace marldale::aqueduct
