--- a/src/gateway/headworks/disk_writer.cpp
+++ b/src/gateway/headworks/disk_writer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/headworks/disk_writer.h"
 
+#include <fcntl.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include <chrono>
@@ -14,6 +16,25 @@
 
 constexpr auto kAgainAfter = std::chrono::milliseconds(150);
 
+bool writeWhole(const std::string& path, const std::string& text) {
+    const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    if (file < 0) return false;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const ssize_t wrote = ::write(file, text.data() + at, text.size() - at);
+        if (wrote <= 0) break;
+        at += static_cast<std::size_t>(wrote);
+    }
+    const bool whole = at == text.size() && ::fdatasync(file) == 0;
+    return ::close(file) == 0 && whole;
+}
+void syncFolderOf(const std::string& path) {
+    const int folder = ::open(path.substr(0, path.rfind('/')).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder < 0) return;
+    (void)::fsync(folder);
+    (void)::close(folder);
+}
+
 }  // namespace
 
 DiskWriter::DiskWriter(boost::asio::io_context& io, std::unique_ptr<ledger::Store> store, std::function<void(std::uint64_t)> done,
@@ -64,10 +85,7 @@
             std::string head;
             bytes::putFixed(head, static_cast<std::uint64_t>(XXH3_64bits(next.mapped().data(), next.mapped().size())));
             const std::string beside = next.key() + ".new";
-            std::ofstream file(beside, std::ios::binary | std::ios::trunc);
-            file << head << next.mapped();
-            file.close();
-            if (file) (void)std::rename(beside.c_str(), next.key().c_str());
+            if (writeWhole(beside, head + next.mapped()) && std::rename(beside.c_str(), next.key().c_str()) == 0) syncFolderOf(next.key());
             lock.lock();
             continue;
         }
