src/ in houses: base, policy, decisions, planner, lab, gateway

Need: src/ was 27 rooms side by side, and the gateway's own are coming; what is shared and what only the present planner has could not be told apart.

Change: bytes, settings, tls, transport, chart to src/base; attempts, membership, recovery to src/decisions; protocol, routing, dispatch, grpc, plugins, hook_program, program, wire, drill, proxy, proxy_program to src/planner; emulator, lab, lab_program, replay, sources, trace, trace_program to src/lab; policy and gateway stay. Rehearsals of hooks, which need the emulator, went to src/lab/rehearsal, the keeper, which needs routing, to src/planner/knowledge. Includes keep their spelling (but for rehearsal.h): each library has the houses that it is built on as include roots, so a lower house can't name a higher one's package. deploy/balancer.toml, README, docs follow.

Not run: sanitizer, thread and fuzz builds.

--- a/bench/measure_plugins.cpp
+++ b/bench/measure_plugins.cpp
@@ -21,7 +21,7 @@
 #include "chart/chart.h"
 #include "emulator/runs.h"
 #include "plugins/hostile.h"
-#include "plugins/rehearsal.h"
+#include "rehearsal/rehearsal.h"
 #include "routing/hooks.h"
 #include "standin/live_planner.h"
 
--- a/cmake/grpc.cmake
+++ b/cmake/grpc.cmake
@@ -30,16 +30,16 @@
 target_link_libraries(marldale_proto PUBLIC PkgConfig::GRPC)
 
 add_library(marldale_grpc_front STATIC
-  src/grpc/assign_stream.cpp src/grpc/convert.cpp src/grpc/credentials.cpp src/grpc/peer_links.cpp src/grpc/peer_stream.cpp
-  src/grpc/report_stream.cpp
-  src/grpc/server.cpp)
+  src/planner/grpc/assign_stream.cpp src/planner/grpc/convert.cpp src/planner/grpc/credentials.cpp src/planner/grpc/peer_links.cpp src/planner/grpc/peer_stream.cpp
+  src/planner/grpc/report_stream.cpp
+  src/planner/grpc/server.cpp)
 target_include_directories(marldale_grpc_front PUBLIC clients/cpp)
 target_link_libraries(marldale_grpc_front PUBLIC marldale_proto marldale_dispatch marldale_membership marldale_protocol)
 
 # It brings its own copy of the few functions that it shares with the planner, so these are built to be loadable.
 set_target_properties(marldale_proto marldale_grpc_front marldale_dispatch marldale_membership marldale_protocol
   marldale_wire marldale_policy PROPERTIES POSITION_INDEPENDENT_CODE ON)
-add_library(marldale_grpc MODULE src/grpc/module.cpp)
+add_library(marldale_grpc MODULE src/planner/grpc/module.cpp)
 set_target_properties(marldale_grpc PROPERTIES PREFIX "" CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
 target_link_libraries(marldale_grpc PRIVATE marldale_grpc_front)
 target_link_options(marldale_grpc PRIVATE -Wl,--exclude-libs,ALL)
--- a/src/hook_program/rehearse.cpp
+++ b/src/lab/rehearsal/main.cpp
@@ -5,7 +5,7 @@
 
 #include "chart/chart.h"
 #include "plugins/provenance.h"
-#include "plugins/rehearsal.h"
+#include "rehearsal/rehearsal.h"
 #include "trace/file.h"
 
 namespace {
--- a/src/plugins/rehearsal.cpp
+++ b/src/lab/rehearsal/rehearsal.cpp
@@ -1,4 +1,4 @@
-#include "plugins/rehearsal.h"
+#include "rehearsal/rehearsal.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/plugins/rehearsal_test.cpp
+++ b/tests/plugins/rehearsal_test.cpp
@@ -8,7 +8,7 @@
 #include <iterator>
 
 #include "hostile.h"
-#include "plugins/rehearsal.h"
+#include "rehearsal/rehearsal.h"
 
 namespace marldale::plugins {
 namespace {
