--- a/src/gateway/headworks/headworks.cpp
+++ b/src/gateway/headworks/headworks.cpp
@@ -22,11 +22,12 @@
 constexpr Micros kNewsEvery = 300000;        // beats passed on, merged
 constexpr Micros kSweepEvery = 500000;
 constexpr Micros kDialWithin = 400000, kDialAgain = 250000;
-constexpr Micros kMarkTimeout = 500000;      // an unanswered mark holds later changes this long
+constexpr Micros kStarting = 3000000, kDialAgainStarting = 60000;  // after a start everyone is looked for
 constexpr Micros kSureWithin = 1500000;      // an older view of the log hands out no copies
 constexpr Micros kChangeWithin = 2500000, kReadWithin = 900000, kLeaderWithin = 800000, kTellWithin = 700000;
 constexpr Micros kOthersKept = 5000000, kMostKept = 30000000;
 constexpr Micros kSilentLink = 1500000;
+constexpr Micros kHintsEvery = 2000000;
 constexpr std::uint64_t kSnapshotEvery = 64;  // changes
 constexpr double kUsualRate = 20;             // requests a second of a sluice of which nothing is known yet
 
@@ -38,6 +39,9 @@
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) ^ device();
 }
+Micros wallNow() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
 std::vector<std::string> zoneNames(const settings::Settings& settings) {
     std::vector<std::string> out;
     for (const auto& [zone, region] : settings.zones) out.push_back(zone);
@@ -54,19 +58,6 @@
 }
 std::uint64_t markOfLines(std::uint64_t mark) { return mark * 2; }
 std::uint64_t markOfModules(std::uint64_t mark) { return mark * 2 + 1; }
-// The line that takes back what a key stands for.
-proto::Line dropOf(const std::string& key) {
-    proto::Line out;
-    switch (key[0]) {
-        case 'r': out.set_route_drop(key.substr(2)); break;
-        case 's': out.set_service_drop(key.substr(2)); break;
-        case 'v': out.set_server_drop(key.substr(2)); break;
-        case 'z': out.set_zone_filled(key.substr(2)); break;
-        default: break;
-    }
-    return out;
-}
-
 }  // namespace
 
 Headworks::Headworks(boost::asio::io_context& io, settings::Settings settings)
@@ -105,6 +96,7 @@
     ledger::Settings rules;
     rules.seeds = settings_.insideSeeds();
     rules.seed = life_;
+    if (!settings_.dataFolder.empty()) readHints(steadyNow());
     log::info("ledger_opened", {{"number", stored->self.number()}, {"term", stored->term}, {"entries", stored->entries.size()},
                                 {"snapshot", stored->snapshot.index()}, {"first_run", settings_.firstRun}});
     replica_ = std::make_unique<ledger::Replica>(rules, std::move(*stored), steadyNow());
@@ -203,6 +195,7 @@
     sluiceOf_.erase(at->second.link.get());
     sluices_.erase(at);
     steering_.leave(id);
+    book_.leave(id);
 }
 
 void Headworks::dialPeers(Micros now) {
@@ -218,7 +211,9 @@
     }
     for (const std::string& address : wanted) peers_.try_emplace(address);
     for (auto& [address, peer] : peers_) {
-        if (peer.link && now - peer.link->heardAt() > 4 * kSilentLink) {
+        const auto word = sluicesAt_.find(address);
+        const Micros told = word == sluicesAt_.end() ? 0 : word->second.first;
+        if (peer.link && now - std::max(peer.link->heardAt(), told) > 4 * kSilentLink) {
             // Its process may be frozen: what waits for it is worth nothing any more.
             auto link = std::exchange(peer.link, nullptr);
             names_.erase(link.get());
@@ -230,7 +225,8 @@
         links::dial(io_, address, kDialWithin, [this, address = address](std::shared_ptr<Link> link) {
             PeerLink& peer = peers_[address];
             peer.dialing = false;
-            peer.nextDial = steadyNow() + kDialAgain;
+            const Micros at = steadyNow();
+            peer.nextDial = at + (at - startedAt_ < kStarting ? kDialAgainStarting : kDialAgain);
             if (!link || stopping_) return;
             const Link* raw = link.get();
             peer.link = link;
@@ -284,21 +280,12 @@
         case proto::Frame::kAnswer: {
             const auto id = sluiceOf_.find(link.get());
             if (id == sluiceOf_.end()) break;
-            Sluice& sluice = sluices_.at(id->second);
             const std::uint64_t mark = frame.answer().mark();
             if (mark % 2 == 1) {
                 steering_.answered(id->second, mark / 2, 0);
-            } else if (mark / 2 == sluice.mark) {
-                for (const auto& [key, hash] : sluice.pending) {
-                    if (hash == 0) {
-                        sluice.held.erase(key);
-                    } else {
-                        sluice.held[key] = hash;
-                    }
-                }
-                sluice.pending.clear();
-                sluice.mark = 0;
-                flushTo(id->second, sluice, now, false);
+            } else {
+                book_.answered(id->second, mark / 2);
+                flushDue_ = true;
             }
             break;
         }
@@ -360,6 +347,26 @@
     }
 }
 
+// Hints only: what is on disk is late by some seconds, so servers of it go soon if they don't beat. It spares a system that starts over the wait for everyone's beat.
+void Headworks::keepHints(Micros now) {
+    if (now < nextHints_ || settings_.dataFolder.empty() || registry_.servers().empty()) return;
+    nextHints_ = now + kHintsEvery;
+    std::vector<std::string> all;
+    for (const auto& [id, server] : registry_.servers()) all.push_back(id);
+    proto::Frame frame = newsOf(all, true, now);
+    frame.mutable_news()->set_number(static_cast<std::uint64_t>(wallNow()));
+    disk_->keep(settings_.dataFolder + "/servers", frame.news().SerializeAsString());
+}
+
+void Headworks::readHints(Micros now) {
+    const auto text = DiskWriter::kept(settings_.dataFolder + "/servers");
+    proto::ServerNews news;
+    if (!text || !news.ParseFromString(*text)) return;
+    const Micros ago = wallNow() - static_cast<Micros>(news.number());
+    for (const proto::Server& server : news.servers()) registry_.hint(now, server, ago);
+    log::info("servers_recalled", {{"servers", registry_.servers().size()}});
+}
+
 void Headworks::beat(proto::Server said, Answer answer) {
     const Micros now = steadyNow();
     const auto what = registry_.heard(now, said);
@@ -393,7 +400,9 @@
 }
 
 void Headworks::serversChanged(Micros now) {
-    std::erase_if(wanted_, [&](const auto& at) { return at.first[0] == 'v' && !registry_.servers().count(at.first.substr(2)); });
+    std::erase_if(book_.wanted, [&](const auto& at) {
+        return (at.first[0] == 'v' || at.first[0] == 'x') && !registry_.servers().count(at.first.substr(2));
+    });
     std::map<std::string, const proto::ServiceLine*> services;
     for (const proto::ServiceLine& service : plans_.configuration().services) services[service.name()] = &service;
     std::vector<aqueduct::ServerSpec> specs;
@@ -403,10 +412,18 @@
         const Micros cold = registry_.coldLeft(server, now);
         specs.push_back({id, server.said.service(), server.said.zone(), server.said.free_places(), server.said.emptying(), cold});
         if (!server.usable() || service == services.end()) {
-            if (wanted_.erase(key) > 0) flushUrgent_ = true;
+            book_.wanted.erase(key);
+            // Said also to a sluice that may hold it from another planner.
+            if (!server.usable() && !book_.wanted.count("x " + id)) {
+                aqueduct::Wanted gone;
+                gone.line.set_server_drop(id);
+                gone.hash = hashOf(gone.line);
+                gone.urgent = true;
+                book_.wanted["x " + id] = std::move(gone);
+            }
             continue;
         }
-        Wanted wanted;
+        aqueduct::Wanted wanted;
         auto* line = wanted.line.mutable_server();
         line->set_id(id);
         line->set_service(server.said.service());
@@ -419,8 +436,7 @@
         line->set_cold_most(parts.cold);
         wanted.hash = hashOf(wanted.line, static_cast<std::uint64_t>(cold > 0 ? server.coldUntil / 100000 : 0));
         wanted.urgent = cold > 0;
-        if (const auto before = wanted_.find(key); before != wanted_.end() && before->second.hash == wanted.hash) continue;
-        wanted_[key] = std::move(wanted);
+        book_.wanted[key] = std::move(wanted);
     }
     steering_.servers(now, specs);
     flushDue_ = true;
@@ -429,10 +445,11 @@
 // ---- Plans ----
 
 void Headworks::plansChanged(Micros now) {
-    std::map<std::string, Wanted> next;
+    std::map<std::string, aqueduct::Wanted> next;
     const auto put = [&](std::string key, proto::Line line) {
-        Wanted wanted;
+        aqueduct::Wanted wanted;
         wanted.hash = hashOf(line);
+        wanted.urgent = key[0] == 'z';
         wanted.line = std::move(line);
         next[std::move(key)] = std::move(wanted);
     };
@@ -474,10 +491,10 @@
         line.set_zone_empty(zone);
         put("z " + zone, std::move(line));
     }
-    for (auto& [key, wanted] : wanted_) {
-        if (key[0] == 'v') next[key] = std::move(wanted);
+    for (auto& [key, wanted] : book_.wanted) {
+        if (key[0] == 'v' || key[0] == 'x') next[key] = std::move(wanted);
     }
-    wanted_ = std::move(next);
+    book_.wanted = std::move(next);
     std::vector<aqueduct::ServiceSpec> all;
     for (auto& [name, spec] : specs) all.push_back(std::move(spec));
     steering_.services(all);
@@ -526,7 +543,6 @@
                 if (!plans_.emptied().count(zone)) registry_.chilled(now, zone, warmUp);
             }
             plansChanged(now);
-            flushUrgent_ = true;
             log::info("change_in_force", {{"index", entry.index()}, {"version", plans_.configuration().version}});
         }
         if (++sinceSnapshot_ >= kSnapshotEvery) {
@@ -600,7 +616,7 @@
         for (Held& held : again) order(std::move(held), steadyNow());
     }
     const Micros now = steadyNow();
-    if (flushDue_ || flushUrgent_) flush(now, flushUrgent_);
+    if (flushDue_) flush(now);
     runModules(now);
     working_ = false;
     arm();
@@ -627,71 +643,44 @@
     }
     log::info("sluice_came", {{"sluice", hello.self().node()}, {"index", hello.index()}});
     countSluices(now);
-    flushTo(id, sluice, now, true);
+    flushDue_ = true;
     steering_.join(id, hello.self().zone(), kUsualRate);
     nextWord_ = now;
 }
 
-void Headworks::flush(Micros now, bool urgent) {
-    flushDue_ = flushUrgent_ = false;
-    for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, urgent);
+void Headworks::admit(aqueduct::SluiceId id, Sluice& sluice, Micros now) {
+    if (sluice.joined || plans_.index() == 0 || plans_.index() < sluice.index) return;  // it knows better
+    const Micros sure = replica_->sureAge(now);
+    if (sure < 0 || sure > kSureWithin) return;
+    sluice.joined = true;
+    book_.join(id, sluice.peer.zone());
 }
 
-void Headworks::flushTo(aqueduct::SluiceId /*id*/, Sluice& sluice, Micros now, bool urgent) {
-    if (plans_.index() == 0 || plans_.index() < sluice.index) return;  // it knows better
-    proto::Frame frame;
-    auto* orders = frame.mutable_orders();
-    const auto add = [&](const Wanted& wanted) {
-        proto::Line* line = orders->add_lines();
-        *line = wanted.line;
-        if (line->has_server()) {
-            const auto at = registry_.servers().find(line->server().id());
-            if (at != registry_.servers().end()) line->mutable_server()->set_cold_for(registry_.coldLeft(at->second, now));
-        }
-    };
-    if (!sluice.copied) {
-        const Micros sure = replica_->sureAge(now);
-        if (sure < 0 || sure > kSureWithin) return;
-        orders->set_fresh(true);
-        orders->set_servers_whole(whole(now));
-        for (const auto& [key, wanted] : wanted_) {
-            add(wanted);
-            sluice.pending[key] = wanted.hash;
-        }
-        sluice.held.clear();
-        sluice.copied = true;
-    } else {
-        if (sluice.mark != 0 && !urgent && now - sluice.markAt < kMarkTimeout) return;  // waits, and merges into the next difference
-        const auto holds = [&](const std::string& key) -> std::uint64_t {
-            const auto pending = sluice.pending.find(key);
-            if (pending != sluice.pending.end()) return pending->second;
-            const auto held = sluice.held.find(key);
-            return held == sluice.held.end() ? 0 : held->second;
-        };
-        for (const auto& [key, wanted] : wanted_) {
-            if (holds(key) == wanted.hash) continue;
-            add(wanted);
-            sluice.pending[key] = wanted.hash;
-        }
-        std::vector<std::string> dropped;
-        for (const auto& [key, hash] : sluice.held) {
-            if (!wanted_.count(key) && holds(key) != 0) dropped.push_back(key);
-        }
-        for (const auto& [key, hash] : sluice.pending) {
-            if (hash != 0 && !wanted_.count(key) && !sluice.held.count(key)) dropped.push_back(key);
+void Headworks::flush(Micros now) {
+    flushDue_ = false;
+    for (auto& [id, sluice] : sluices_) admit(id, sluice, now);
+    for (auto& [id, batch] : book_.turn(now)) {
+        const auto at = sluices_.find(id);
+        if (at == sluices_.end()) continue;
+        proto::Frame frame;
+        auto* orders = frame.mutable_orders();
+        orders->set_mark(markOfLines(batch.mark));
+        orders->set_fresh(batch.fresh);
+        orders->set_servers_whole(batch.fresh && whole(now));
+        if (batch.whole) {
+            orders->set_index(plans_.index());
+            at->second.index = plans_.index();
         }
-        for (const std::string& key : dropped) {
-            *orders->add_lines() = dropOf(key);
-            sluice.pending[key] = 0;
+        for (proto::Line& line : batch.lines) {
+            if (line.has_server()) {
+                // Cold times are spans from now, so they are filled in as the line goes out.
+                const auto server = registry_.servers().find(line.server().id());
+                if (server != registry_.servers().end()) line.mutable_server()->set_cold_for(registry_.coldLeft(server->second, now));
+            }
+            *orders->add_lines() = std::move(line);
         }
-        if (orders->lines_size() == 0 && sluice.index == plans_.index()) return;
+        at->second.link->send(frame);
     }
-    sluice.index = plans_.index();
-    sluice.mark = ++lastMark_;
-    sluice.markAt = now;
-    orders->set_mark(markOfLines(sluice.mark));
-    orders->set_index(plans_.index());
-    sluice.link->send(frame);
 }
 
 void Headworks::runModules(Micros now) {
@@ -725,9 +714,8 @@
 }
 
 void Headworks::countSluices(Micros now) {
-    std::erase_if(sluicesAt_, [&](const auto& at) { return now - at.second.first > kOthersKept; });
     std::size_t count = sluices_.size(), seen = 0;
-    for (const auto& [address, told] : sluicesAt_) count += told.second;
+    for (const auto& [address, told] : sluicesAt_) count += now - told.first > kOthersKept ? 0 : told.second;
     for (const auto& [address, peer] : view_.peers()) seen += peer.control().empty() ? 1 : 0;
     count = std::max(count, std::min<std::size_t>(seen, 16));
     const std::size_t before = sluicesMost_;
@@ -779,23 +767,17 @@
     if (now >= nextWord_) sendWord(now);
     if (now >= nextNews_) {
         sendNews(now);
-        nextNews_ = now + kNewsEvery;
+        const bool alone = std::any_of(peers_.begin(), peers_.end(), [](const auto& p) { return !p.second.link; });
+        nextNews_ = now + (alone && now - startedAt_ < kStarting ? kDialAgainStarting : kNewsEvery);
         endLate(now);
         dialPeers(now);
+        keepHints(now);
     }
     if (now >= nextSweep_) {
         nextSweep_ = now + kSweepEvery;
         countSluices(now);
         if (registry_.tick(now)) serversChanged(now);
-        if (!wholeTold_ && whole(now)) {
-            // What was handed out before was a part; now what isn't named is gone.
-            wholeTold_ = true;
-            for (auto& [id, sluice] : sluices_) {
-                sluice.copied = false;
-                sluice.pending.clear();
-            }
-        }
-        for (auto& [id, sluice] : sluices_) flushTo(id, sluice, now, false);
+        flushDue_ = true;
     }
     work();
 }
@@ -852,7 +834,7 @@
         json.Key("index");
         json.Uint64(sluice.index);
         json.Key("unanswered");
-        json.Bool(sluice.mark != 0);
+        json.Bool(book_.unanswered(id));
         json.EndObject();
     }
     json.EndArray();
