make measure-capacity: what the gateway costs by size, held against promises

Need: the operators expect 4,200 planners before 200,000 servers and ask for figures from measured slopes. Change: a program that measures the rooms as libraries, a real headworks with hollow sluices and a real carrier on loopback; a line through three sizes or more each; figures at the operators' size; a table of promises that ends it with 1 where a slope breaks.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test demo measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins emulate-live demo-replay fuzz sanitize tsan lint format run clean
+.PHONY: packages build test demo measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins measure-capacity emulate-live demo-replay fuzz sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
@@ -50,6 +50,12 @@
 	$(BUILD) build/demo -j4
 	cd build/demo && bench/measure_plugins
 
+# What the gateway's state, messages, time and memory cost by size, and what that comes to at the operators' size.
+measure-capacity: packages
+	cmake -B build/capacity -DCMAKE_BUILD_TYPE=Release -DMARLDALE_GATEWAY=ONLY -DMARLDALE_BENCH=ON
+	$(BUILD) build/capacity -j4 --target measure_capacity
+	build/capacity/measure_capacity
+
 # An incident in the model and with the daemon over loopback sockets, in real time: make emulate-live SCENARIO=FILE
 SCENARIO := scenarios/half-a-minute.ini
 emulate-live: packages
--- /dev/null
+++ b/bench/gateway/measure_capacity.cpp
@@ -0,0 +1,43 @@
+// make measure-capacity: slopes of state, messages, processor time and memory, measured here, and what they
+// come to at the operators' size (docs/CAPACITY.md). Ends with 1 where a slope is steeper than promised.
+#include <cstdio>
+#include <exception>
+#include <functional>
+#include <string>
+
+#include "gateway/figures.h"
+#include "gateway/gauge.h"
+#include "gateway/live_headworks.h"
+#include "gateway/live_sluice.h"
+#include "gateway/log/log.h"
+#include "gateway/rooms.h"
+
+int main() {
+    using namespace marldale::capacity;
+    try {
+        marldale::log::begin("capacity", marldale::log::Level::error);
+        std::vector<Slope> slopes;
+        const double begun = wallSeconds();
+        const auto part = [&](const char* name, void (*measure)(std::vector<Slope>&)) {
+            const double from = wallSeconds();
+            measure(slopes);
+            std::fprintf(stderr, "%s: %.1f s\n", name, wallSeconds() - from);
+        };
+        part("sluice rooms", sluiceRooms);
+        part("headworks rooms", headworksRooms);
+        part("views", viewRooms);
+        part("ledger", ledgerRooms);
+        part("live sluice", liveSluiceSlopes);
+        part("live headworks", liveHeadworksSlopes);
+        std::printf("## Slopes\n\n%s\n", tableOf(slopes, promises()).c_str());
+        std::printf("## At the operators' size\n\n%s\n", tableOf(figuresOf(slopes)).c_str());
+        const auto breaks = broken(slopes, promises());
+        for (const std::string& text : breaks) std::printf("BROKEN %s\n", text.c_str());
+        std::printf("%zu slopes, %zu promises, %zu broken; %.0f s\n", slopes.size(), promises().size(),
+                    breaks.size(), wallSeconds() - begun);
+        return breaks.empty() ? 0 : 1;
+    } catch (const std::exception& wrong) {
+        std::fprintf(stderr, "measure_capacity: %s\n", wrong.what());
+        return 1;
+    }
+}
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -77,3 +77,19 @@
   target_link_libraries(gateway_test PRIVATE gateway_program Catch2::Catch2)
   catch_discover_tests(gateway_test TEST_PREFIX "gateway.")
 endif()
+
+# What it costs by size (make measure-capacity, docs/CAPACITY.md).
+if(MARLDALE_TESTS OR MARLDALE_BENCH)
+  add_library(gateway_capacity STATIC bench/gateway/slopes.cpp bench/gateway/figures.cpp bench/gateway/gauge.cpp
+    bench/gateway/promises.cpp)
+  target_include_directories(gateway_capacity PUBLIC ${PROJECT_SOURCE_DIR}/bench)
+  target_link_libraries(gateway_capacity PUBLIC gateway_headworks)
+endif()
+if(MARLDALE_TESTS)
+  target_link_libraries(gateway_test PRIVATE gateway_capacity)
+endif()
+if(MARLDALE_BENCH)
+  add_executable(measure_capacity bench/gateway/measure_capacity.cpp bench/gateway/rooms.cpp
+    bench/gateway/live_headworks.cpp bench/gateway/live_sluice.cpp)
+  target_link_libraries(measure_capacity PRIVATE gateway_capacity gateway_program)
+endif()
