--- a/bench/gateway/promises.cpp
+++ b/bench/gateway/promises.cpp
@@ -1,6 +1,6 @@
-// What is promised: no slope steeper than this. The bounds are about three times what the steepest of four
-// runs gave for processor time, and 1.3 to 2 times for bytes and memory, so that what breaks one is a change
-// of the code and not of the weather.
+// What is promised: no slope steeper than this. The bounds are three to four times what the steepest of four
+// runs gave for processor time, and 1.3 to 2.7 times for bytes and memory, so that what breaks one is a
+// change of the code, not a busy machine.
 #include <iterator>
 
 #include "gateway/figures.h"
