--- a/src/gateway/headworks/headworks.h
+++ b/src/gateway/headworks/headworks.h
@@ -98,6 +98,8 @@
     void tick();
     void dialPeers(Micros now);
     void tellPeers(const proto::Frame& frame);
+    void keepHints(Micros now);
+    void readHints(Micros now);
     void sendNews(Micros now);
     [[nodiscard]] proto::Frame newsOf(const std::vector<std::string>& ids, bool whole, Micros now) const;
     void apart(std::function<void()> step, Micros after);
@@ -153,9 +155,9 @@
     std::map<std::string, std::pair<Micros, std::uint32_t>> sluicesAt_;  // of other headworks: when told, how many
     std::size_t sluicesMost_ = 0;  // of the last half minute: parts that were handed out may still be in use
     Micros sluicesMostAt_ = 0;
-    bool gotWhole_ = false, wholeTold_ = false, stopping_ = false, working_ = false;
+    bool gotWhole_ = false, stopping_ = false, working_ = false;
     std::string lastLeader_;
-    Micros nextWord_ = 0, nextNews_ = 0, nextSweep_ = 0;
+    Micros nextWord_ = 0, nextNews_ = 0, nextSweep_ = 0, nextHints_ = 0;
     std::uint64_t sinceSnapshot_ = 0;
     std::vector<std::string> contacts_;
 };
