--- a/src/gateway/ledger/replica.cpp
+++ b/src/gateway/ledger/replica.cpp
@@ -990,10 +990,14 @@
         return;
     }
     if (s.now >= s.electionDue) {
-        if (s.mayCampaign()) {
-            s.ask();
-        } else {
+        if (!s.mayCampaign()) {
             s.awaitElection();
+        } else if (s.emitted != s.done) {
+            // Its vote couldn't be told now; where the disk hangs, asking on would only run up its term, and put an end
+            // to another's lead later.
+            s.electionDue = s.now + s.settings.heartbeat;
+        } else {
+            s.ask();
         }
     }
     if (s.role != Role::leader && s.now >= s.joinDue()) s.join();
--- a/tests/gateway/ledger_replica_test.cpp
+++ b/tests/gateway/ledger_replica_test.cpp
@@ -170,6 +170,21 @@
     CHECK(table.at(first).committed() == *more);
 }
 
+TEST_CASE("One whose disk hangs doesn't run up its term", "[ledger]") {
+    Table table(3);
+    const std::size_t first = table.elected({0, 1, 2});
+    const Term term = table.at(first).term();
+    const std::size_t other = (first + 1) % 3;
+    table.seats[other].hangs = true;
+    REQUIRE(table.at(first).propose(table.now, "x"));
+    table.settle();
+    table.together = {other, (first + 2) % 3};
+    table.seats[(first + 2) % 3].hangs = true;
+    table.run(20000000);
+    CHECK(table.at(other).term() <= term + 1);
+    CHECK(table.at((first + 2) % 3).term() <= term + 1);
+}
+
 TEST_CASE("Nobody is woken more often than the heartbeat asks", "[ledger]") {
     Table table(3);
     const std::size_t first = table.elected({0, 1, 2});
