--- a/tests/gateway/ledger_world_test.cpp
+++ b/tests/gateway/ledger_world_test.cpp
@@ -1,5 +1,5 @@
-// Thousands of histories of replicas whose machines, disks and links fail; and faults planted in the replica,
-// each of which the histories must find.
+// Thousands of histories (MARLDALE_LEDGER_HISTORIES, from MARLDALE_LEDGER_SEED on) of replicas whose
+// machines, disks and links fail; and faults planted in the replica, each of which the histories must find.
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <ctime>
