--- a/tests/gateway/ledger_world_test.cpp
+++ b/tests/gateway/ledger_world_test.cpp
@@ -1,5 +1,6 @@
-// Thousands of histories (MARLDALE_LEDGER_HISTORIES, from MARLDALE_LEDGER_SEED on) of replicas whose
-// machines, disks and links fail; and faults planted in the replica, each of which the histories must find.
+// Thousands of histories of replicas whose machines, disks and links fail; and faults planted in the replica, each of
+// which the histories must find. Variables: MARLDALE_LEDGER_HISTORIES of them from MARLDALE_LEDGER_SEED on, at most
+// MARLDALE_LEDGER_HUNT for a fault; MARLDALE_LEDGER_FIGURES prints figures, MARLDALE_LEDGER_TRACE each step.
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <ctime>
