Sluice: after a failed try a request waits for room once more

Need: a read whose first try breaks after a quarter of its target got 502 at once if the other servers were busy. Change: once it may have run, its wait begins anew; refusals stay early. Measured: the new test fails without the change (502) and passes with it; 44 cases pass, also with sanitizers.

--- a/src/gateway/sluice/carrier.cpp
+++ b/src/gateway/sluice/carrier.cpp
@@ -121,6 +121,7 @@
         unsigned rank = 0;
         penstock::Forwarding forwarding;
         Stage stage = Stage::seeking;
+        Micros patience = 0;  // how long it may wait for room at a time
         Micros waitUntil = 0, sentAt = 0;
         std::vector<ServerPtr> tried;
         ServerPtr server;
@@ -372,8 +373,8 @@
     const auto p = std::make_shared<Passage>(*this, timers_, client, service, route->kind, route->tries,
                                              request.began + left);
     p->rank = route->rank;
-    p->waitUntil =
-        request.began + static_cast<Micros>(static_cast<double>(route->target) * kWaitPart) - kWaitMargin;
+    p->patience = static_cast<Micros>(static_cast<double>(route->target) * kWaitPart) - kWaitMargin;
+    p->waitUntil = request.began + p->patience;
     client->guest = p;
     if (!tables_.admit(service, route->kind, now)) return finish(p, Step::refuse, now);
     seek(p, now);
@@ -694,6 +695,8 @@
     }
     p->stage = Stage::seeking;
     if (step != Step::again) return finish(p, step, now);
+    // What could only end as a failure now may wait for room once more. A refusal comes early or not at all.
+    if (p->forwarding.mayHaveRun()) p->waitUntil = now + p->patience;
     if (p->forwarding.further() && !p->token) {
         if (!tables_.takeFurther(p->service, now)) return finish(p, p->forwarding.last(now), now);
         p->token = true;
--- a/tests/gateway/carrier_test.cpp
+++ b/tests/gateway/carrier_test.cpp
@@ -827,3 +827,29 @@
     Client again(world);
     CHECK(again.ask(get("/r/a", "t")).status == 200);
 }
+
+TEST_CASE("After a failed try a request waits for room once more", "[carrier]") {
+    World world;
+    StandIn& one = world.server("i-1");
+    StandIn& other = world.server("i-2");
+    auto orders = world.orders();
+    for (auto& line : *orders.mutable_lines()) {
+        if (line.has_server()) line.mutable_server()->set_in_flight_most(1);
+    }
+    one.script = other.script = [](const Seen&) { return Does{}; };
+    world.start(orders);
+    Client first(world), second(world);
+    first.send(get("/r/a", "a"));
+    second.send(get("/r/a", "b"));
+    REQUIRE(world.until([&] { return one.seen.size() == 1 && other.seen.size() == 1; }));
+    // Later than a quarter of the target, one of them breaks while the other is busy.
+    const Micros from = World::now();
+    world.until([&] { return World::now() - from > 110000; });
+    one.late(one.seen[0].id, "nonsense\r\n\r\n");
+    world.turn(20);
+    other.script = [](const Seen& seen) { return Does{good(seen.id)}; };
+    other.late(other.seen[0].id, good(other.seen[0].id));
+    CHECK(first.read().status == 200);
+    CHECK(second.read().status == 200);
+    CHECK(other.seen.size() == 2);
+}
