--- a/tests/gateway/disk_writer_test.cpp
+++ b/tests/gateway/disk_writer_test.cpp
@@ -35,6 +35,7 @@
             [this](std::string text) { failed.push_back(std::move(text)); });
     }
     void until(const std::function<bool()>& there) {
+        io.restart();  // it stops for good where its work ran out between two of these
         const auto work = boost::asio::make_work_guard(io);
         while (!there()) io.run_one();
     }
