Views: a neighbour is forgotten after two silences, not after one lost datagram

Cause: an asked neighbour whose one datagram or answer was lost was erased at once. Change: it is asked once more; a test of its own.

--- a/src/gateway/confluence/view.cpp
+++ b/src/gateway/confluence/view.cpp
@@ -13,8 +13,14 @@
 
 std::optional<View::Letter> View::due(Micros now) {
     if (now < next_) return std::nullopt;
-    // The one that was asked and has not answered is silent: it goes, and comes back by others' word if they know better.
-    if (asked_) peers_.erase(*asked_);
+    // Datagrams are lost now and then: the one that was asked and has not answered is asked once more. Silent twice, it goes,
+    // and comes back by others' word if they know better.
+    if (asked_ && asked_ == silentOnce_) {
+        peers_.erase(*asked_);
+        silentOnce_.reset();
+    } else {
+        silentOnce_ = asked_;
+    }
     asked_.reset();
     for (auto& [address, peer] : peers_) peer.set_age(peer.age() + 1);
     std::erase_if(peers_, [&](const auto& at) { return at.second.age() > settings_.ageMost; });
@@ -26,7 +32,7 @@
         if (to.empty() || to == self_.address()) return std::nullopt;
     } else {
         const auto oldest = std::max_element(peers_.begin(), peers_.end(), [](const auto& a, const auto& b) { return a.second.age() < b.second.age(); });
-        to = oldest->first;
+        to = silentOnce_ && peers_.count(*silentOnce_) ? *silentOnce_ : oldest->first;
         asked_ = to;
     }
     return Letter{to, letter(false)};
--- a/src/gateway/confluence/view.h
+++ b/src/gateway/confluence/view.h
@@ -1,5 +1,5 @@
 // Who is there: a partial view, shuffled between neighbours. After Cyclon (Voulgaris, Gavidia, van Steen, 2005): the
-// neighbour that was told longest ago is asked next and goes if it stays silent; each hands over a sample. Those
+// neighbour that was told longest ago is asked next, and goes if it stays silent twice; each hands over a sample. Those
 // that serve control are kept first, since every process needs some of them. No I/O.
 #pragma once
 
@@ -56,6 +56,7 @@
     std::vector<std::string> seeds_;
     std::map<std::string, proto::Peer> peers_;
     std::optional<std::string> asked_;
+    std::optional<std::string> silentOnce_;  // asked again next
     Micros next_ = 0;
     std::size_t nextSeed_ = 0;
     std::uint64_t drawn_;
--- a/tests/gateway/view_test.cpp
+++ b/tests/gateway/view_test.cpp
@@ -60,6 +60,34 @@
     }
 }
 
+TEST_CASE("A neighbour is forgotten after two silences in a row, not after one", "[view]") {
+    proto::Peer self, other;
+    self.set_address("10.0.0.1:7540");
+    other.set_address("10.0.0.2:7540");
+    other.set_control("10.0.0.2:8000");
+    proto::Shuffle said;
+    *said.mutable_from() = other;
+    said.set_answer(true);
+    View view({}, self, {other.address()});
+    const auto asked = [&] {
+        const auto letter = view.due(view.nextDue());
+        REQUIRE(letter);
+        return letter->to == other.address();
+    };
+    view.met(other);
+    for (int round = 0; round < 5; ++round) {  // every other answer is lost
+        CHECK(asked());
+        CHECK(asked());
+        REQUIRE(view.control().size() == 1);
+        CHECK_FALSE(view.heard(said));
+    }
+    CHECK(asked());
+    CHECK(asked());
+    CHECK(view.control().size() == 1);
+    CHECK(asked());  // by the seeds: nobody is known any more
+    CHECK(view.control().empty());
+}
+
 TEST_CASE("The dead are forgotten, also where all seeds are", "[view]") {
     World world(5, 9, 3);
     world.run(20000000);
