--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test demo measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins emulate-live demo-replay fuzz sanitize tsan lint format run clean
+.PHONY: packages build test demo demo-gateway measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins emulate-live demo-replay fuzz sanitize tsan lint format run clean
 
 BUILD := cmake --build
 
@@ -23,7 +23,13 @@
 	build/demo/bench/marldale_demo
 	build/demo/bench/demo_proxy build/demo/proxy.svg
 	build/demo/marldale emulate run scenarios/cut-during-deploy.ini --chart build/demo/incident.svg
-	@echo "the incident's chart: build/demo/incident.svg"
+	@echo "the incident's chart: build/demo/incident.svg; the API gateway has a demo of its own: make demo-gateway"
+
+# The API gateway over a minute of troubles: processes of its own, stand-in servers and clients, on loopback.
+demo-gateway: packages
+	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
+	$(BUILD) build/demo -j4 --target demo_gateway
+	build/demo/bench/demo_gateway build/demo/gateway.svg
 
 # What a planner that restarts gains from what was known, and SWIM's figures.
 measure-learning: packages
