--- a/tests/tools/hard_days_test.py
+++ b/tests/tools/hard_days_test.py
@@ -48,6 +48,8 @@
 replace_with_reuse: servers end (how: drain, they drain; dark, they fall silent); others follow
 srv_grey: servers fail; how: errors shed, slow (x (8) times), + one_zone
 reset_conns: resets
+release: servers are replaced one after the other
+scale_in: servers are emptied and go
 garble: answers are spoilt; how: extra, early
 answer_lost: answers go
 config_change: how: route weights
@@ -55,6 +57,8 @@
 these may come too:
 config_race: pairs of changes
 ack_lost: acknowledgements go
+hup: machines get SIGHUP
+srv_cut: servers are cut off; how: fronts, one_way
 evacuate: a zone is emptied; cold unless how: warm
 """
 SEEDS = range(1, 201)
--- a/tools/hard_days/scenarios.py
+++ b/tools/hard_days/scenarios.py
@@ -1,4 +1,4 @@
-"""Generators of days, one for each of the operators' five points, and one that mixes any kinds.
+"""Generators of days: the operators' five points, planned work alone, servers that leave, and a mix of any kinds.
 
 Each draws its parameters from the day's seed. A day overlaps two to four kinds of trouble, with configuration changes
 between them.
@@ -234,6 +234,74 @@
     return [*entries, *draw.changes(2.0, draw.last, draw.between(2.0, 6.0))], draw.closing(0.3)
 
 
+def planned_work(draw: Draw) -> tuple[list[Entry], Closing | None]:
+    """Planned work alone: two rolling stops of all edge proxies that overlap, reloads, releases, many changes."""
+    start = draw.between(2.0, 4.0)
+    gap = draw.pick((0.08, 0.1, 0.12))
+    entries = draw.changes(start, start + gap * draw.random.randint(150, 250), gap)
+    for first in (start, start + draw.between(0.5, draw.site.grace)):
+        entries.append(draw.entry(first, "roll_term", share=1.0, x=float(draw.random.randint(2, 6)),
+                                  gap_s=round(draw.between(0.4, 1.2), 2), how=draw.pick(("busy", ""))))
+    for kind in draw.some(draw.listed("hup", "release", "scale_in", "seed_turnover"), 1, 3):
+        moment = draw.between(start, draw.last - draw.site.grace)
+        if kind == "hup":
+            entries.append(draw.entry(moment, kind, share=round(draw.between(0.3, 1.0), 2), gap_s=1.0))
+        elif kind == "seed_turnover":
+            entries.append(draw.entry(moment, kind))
+        else:
+            entries.append(_departures(draw, moment, kind))
+    return entries, None
+
+
+def _departures(draw: Draw, at: float, kind: str) -> Entry:
+    """Servers that leave in order, one after another."""
+    share = round(draw.between(0.1, 0.4), 2)
+    if kind == "release":
+        return draw.entry(at, kind, share=share, x=float(draw.random.randint(1, 6)), gap_s=round(draw.between(0.4, 1.2), 2))
+    how = "drain" if kind == "replace_with_reuse" else ""
+    return draw.entry(at, kind, share=share, how=how)
+
+
+def _control_trouble(draw: Draw, at: float, kind: str) -> Entry:
+    """A trouble of the controllers, or of the servers' way to them."""
+    if kind == "core_cut":
+        reach = draw.variant(kind, "all", "near", "one_way", "split", "lure", "both", "behind")
+        return draw.entry(at, kind, draw.between(1.0, 6.0), count=1, how=f"{draw.pick(('', 'giver', 'leader'))} {reach}".strip())
+    if kind == "srv_cut":
+        how = draw.variant(kind, "fronts", "some", "one_way", "reset")
+        return draw.entry(at, kind, draw.between(2.0, 8.0), share=round(draw.between(0.1, 0.4), 2), how=how)
+    if kind == "herd_kill":
+        return draw.entry(at, kind, draw.between(0.5, 2.0), on="core", how=draw.pick(("", "power", "race drain")))
+    if kind == "node_kill":
+        how = draw.pick(("giver", "giver power", "leader race drain", "meet drain"))
+        return draw.entry(at, kind, draw.between(0.5, 4.0), on="core", count=1, how=how)
+    if kind == "node_freeze":
+        return draw.entry(at, kind, draw.between(0.5, 4.0), on="core", count=1, how=draw.pick(("giver", "leader", "")))
+    if kind == "reset_conns":
+        return draw.entry(at, kind, share=round(draw.between(0.3, 0.9), 2), x=round(draw.between(0.3, 0.9), 2))
+    if kind == "roll_term":
+        return draw.entry(at, kind, on="core", share=1.0, x=1.0, gap_s=round(draw.between(0.5, draw.site.catch_up), 2))
+    return draw.entry(at, kind, draw.between(0.5, 4.0), zone=draw.pick(draw.site.zones))
+
+
+def departures(draw: Draw) -> tuple[list[Entry], Closing | None]:
+    """Servers leave in order while controllers are killed, cut off, frozen or stopped in turn."""
+    start = draw.between(2.0, 5.0)
+    leaving = draw.some(draw.listed("release", "scale_in", "replace_with_reuse"), 1, 2)
+    control = draw.some(draw.listed("core_cut", "srv_cut", "herd_kill", "node_kill", "node_freeze", "reset_conns",
+                                    "roll_term", "zone_loss"), 1, 2)
+    entries = draw.changes(1.5, draw.last, draw.between(1.0, 4.0))
+    at = start
+    while at < draw.last - draw.site.catch_up:
+        trouble = _control_trouble(draw, at, draw.pick(control))
+        entries.append(trouble)
+        for kind in leaving:
+            moment = draw.pick((trouble.at - draw.site.drain, trouble.at - 0.2, trouble.at + 0.5, trouble.end()))
+            entries.append(_departures(draw, moment, kind))
+        at = trouble.end() + draw.between(0.5, draw.site.in_touch + draw.site.catch_up)
+    return entries, draw.closing(0.2)
+
+
 # Kinds that strike machines and take `on`; without it the bench strikes edge machines.
 _ON_MACHINES = frozenset("herd_kill node_kill node_freeze node_slow roll_term hup".split())
 
@@ -258,6 +326,8 @@
     "3": second_loss,
     "4": hundreds_of_changes,
     "5": wrong_answers,
+    "planned": planned_work,
+    "departures": departures,
     "mix": mixed,
 }
 
