--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -150,4 +150,38 @@
     CHECK(registry.servers().at("a").said.call_count() == 6);
 }
 
+TEST_CASE("A departure is final", "[registry]") {
+    Registry registry({});
+    registry.heard(kS, beat("i", 4));
+    const auto usable = [&] {
+        const auto at = registry.servers().find("i");
+        return at != registry.servers().end() && at->second.usable();
+    };
+    SECTION("a sign-off with an older call count than a beat's") {
+        registry.heard(2 * kS, beat("i", 9));
+        auto gone = beat("i", 5);
+        gone.set_gone(true);
+        CHECK(registry.heard(2 * kS, gone) == Registry::News::urgent);
+        CHECK_FALSE(usable());
+    }
+    SECTION("a beat of before, after the leaving server has fallen silent") {
+        auto emptying = beat("i", 6);
+        emptying.set_emptying(true);
+        registry.heard(2 * kS, emptying);
+        for (Micros now = 2 * kS; now <= 9 * kS; now += kS) {
+            registry.heard(now, beat("there", static_cast<std::uint64_t>(now), "10.0.0.3:80"));
+            registry.tick(now);
+        }
+        registry.heard(9 * kS, beat("i", 5));
+        CHECK_FALSE(usable());
+    }
+    SECTION("a later beat that says ready") {
+        auto emptying = beat("i", 6);
+        emptying.set_emptying(true);
+        registry.heard(2 * kS, emptying);
+        registry.heard(3 * kS, beat("i", 7));
+        CHECK_FALSE(usable());
+    }
+}
+
 }  // namespace marldale::registry
