Edge proxy: its end is a file of its own, and logs what it leaves unfinished

Cause: logs could not tell the hypotheses of LOST apart: new or kept connections, taken late or early, unwritten. Change: termination.cpp; one line ended_with at the end of the process. No change of behaviour.

--- a/src/gateway/edge_proxy/forwarder_impl.h
+++ b/src/gateway/edge_proxy/forwarder_impl.h
@@ -99,9 +99,10 @@
     void streamOn(const ForwardedRequestPtr& request, ServerConnection& connection);
     void countHeld(ForwardedRequest& request, std::int64_t bytes);
 
-    // The end of the process.
+    // The end of the process (termination.cpp).
     void onEndTimer(Micros now);
     void refuseUnsent();
+    void logUnfinished() const;
     void endIfIdle();
 
     [[nodiscard]] bool isReady();
@@ -121,7 +122,7 @@
     std::int64_t heldBodies_ = 0, heldAnswers_ = 0;  // bytes
     upstream::Draw draw_;
     bool wasReady_ = false, terminating_ = false, ended_ = false, shutDown_ = false;
-    Micros serveUntil_ = 0, endAt_ = 0;
+    Micros terminatedAt_ = 0, serveUntil_ = 0, endAt_ = 0;
     std::function<void()> done_;
     EndTimer endTimer_;
     Micros reportFrom_ = 0;
--- a/src/gateway/edge_proxy/request_forwarder.cpp
+++ b/src/gateway/edge_proxy/request_forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <vector>
 
 #include "gateway/edge_proxy/forwarder_impl.h"
 #include "gateway/http_server/asio_event_loop.h"
@@ -20,9 +19,6 @@
 constexpr std::int64_t kMaxBodies = 32 << 20;  // bytes of requests held in all
 constexpr double kQueueShare = 0.25;           // of a route's target that a request may wait for room
 constexpr Micros kQueueMargin = 15000;         // off that
-constexpr Micros kReadyFor = 2500000;          // after SIGTERM: the platform has missed two looks by then
-constexpr double kReadyShare = 0.45;           // of the grace, if that is less
-constexpr Micros kEndMargin = 300000;          // before the grace ends
 constexpr Micros kMinRetryAfter = 100000, kRetryAfterSpread = 150000;
 constexpr Micros kNoConfiguration = 300000;  // Retry-After while there is none
 
@@ -123,58 +119,6 @@
     return report;
 }
 
-// ---- the end ----
-
-void RequestForwarder::Impl::terminate(std::function<void()> done) {
-    if (terminating_) return;
-    terminating_ = true;
-    done_ = std::move(done);
-    const Micros now = timers_.now();
-    endAt_ = now + std::max<Micros>(0, settings_.grace - kEndMargin);
-    serveUntil_ =
-        now + std::min(kReadyFor, static_cast<Micros>(static_cast<double>(settings_.grace) * kReadyShare));
-    endTimer_.wake(serveUntil_);
-}
-
-void RequestForwarder::Impl::onEndTimer(Micros now) {
-    if (ended_) return;
-    if (now >= endAt_) {
-        ended_ = true;
-        refuseUnsent();
-        if (done_) done_();
-        return;
-    }
-    std::vector<std::shared_ptr<ClientConnection>> idle;
-    for (const auto& client : clients_) {
-        if (client->idle()) idle.push_back(client);
-    }
-    for (const auto& client : idle) client->close();
-    endTimer_.wake(endAt_);
-    endIfIdle();
-}
-
-// A request of which nothing was sent is refused rather than cut: its client may send it elsewhere.
-void RequestForwarder::Impl::refuseUnsent() {
-    const std::vector<std::shared_ptr<ClientConnection>> clients(clients_.begin(), clients_.end());
-    for (const auto& client : clients) {
-        if (!client->exchange) continue;
-        const auto request = std::static_pointer_cast<ForwardedRequest>(client->exchange);
-        const bool unsent = request->stage == Stage::waiting || request->stage == Stage::connecting;
-        if (!unsent || request->retry.mayHaveRun()) continue;
-        if (request->stage == Stage::waiting) waiting_.remove(*request);
-        release(*request);
-        finish(request, NextStep::refuse);
-    }
-}
-
-void RequestForwarder::Impl::endIfIdle() {
-    if (!terminating_ || ended_ || timers_.now() < serveUntil_ || !clients_.empty()) return;
-    // Those whose clients have gone, and that must not run twice, are still at work.
-    if (pools_.anyBusy()) return;
-    endTimer_.wake(0);
-    endAt_ = 0;
-}
-
 // ---- clients ----
 
 void RequestForwarder::Impl::onRequest(const std::shared_ptr<ClientConnection>& client) {
--- /dev/null
+++ b/src/gateway/edge_proxy/termination.cpp
@@ -0,0 +1,104 @@
+// The end of the process: it serves on until nobody sends to it any more, finishes what is under way, and
+// ends before its grace does.
+#include <algorithm>
+#include <vector>
+
+#include "gateway/edge_proxy/forwarder_impl.h"
+#include "gateway/log/log.h"
+
+namespace marldale::edge_proxy {
+namespace {
+
+using forwarding::NextStep;
+using http_server::ClientConnection;
+
+// What is tuned.
+constexpr Micros kReadyFor = 2500000;  // after SIGTERM: the platform has missed two looks by then
+constexpr double kReadyShare = 0.45;   // of the grace, if that is less
+constexpr Micros kEndMargin = 300000;  // before the grace ends
+constexpr Micros kMicrosPerMs = 1000;
+
+// What the end leaves without an answer.
+struct Unfinished {
+    unsigned requests = 0;          // sent to a server, or streaming its answer
+    unsigned onNewConnections = 0;  // of these, on connections that were opened after SIGTERM
+    unsigned takenLate = 0;         // of these, read after the platform should have stopped sending
+    Micros latest = 0;              // after SIGTERM, when the last of them was read
+    unsigned unwritten = 0;         // answers of which the client has not been written all
+};
+
+}  // namespace
+
+void RequestForwarder::Impl::terminate(std::function<void()> done) {
+    if (terminating_) return;
+    terminating_ = true;
+    done_ = std::move(done);
+    const Micros now = timers_.now();
+    terminatedAt_ = now;
+    endAt_ = now + std::max<Micros>(0, settings_.grace - kEndMargin);
+    serveUntil_ =
+        now + std::min(kReadyFor, static_cast<Micros>(static_cast<double>(settings_.grace) * kReadyShare));
+    endTimer_.wake(serveUntil_);
+}
+
+void RequestForwarder::Impl::onEndTimer(Micros now) {
+    if (ended_) return;
+    if (now >= endAt_) {
+        ended_ = true;
+        refuseUnsent();
+        logUnfinished();
+        if (done_) done_();
+        return;
+    }
+    std::vector<std::shared_ptr<ClientConnection>> idle;
+    for (const auto& client : clients_) {
+        if (client->idle()) idle.push_back(client);
+    }
+    for (const auto& client : idle) client->close();
+    endTimer_.wake(endAt_);
+    endIfIdle();
+}
+
+// A request of which nothing was sent is refused rather than cut: its client may send it elsewhere.
+void RequestForwarder::Impl::refuseUnsent() {
+    const std::vector<std::shared_ptr<ClientConnection>> clients(clients_.begin(), clients_.end());
+    for (const auto& client : clients) {
+        if (!client->exchange) continue;
+        const auto request = std::static_pointer_cast<ForwardedRequest>(client->exchange);
+        const bool unsent = request->stage == Stage::waiting || request->stage == Stage::connecting;
+        if (!unsent || request->retry.mayHaveRun()) continue;
+        if (request->stage == Stage::waiting) waiting_.remove(*request);
+        release(*request);
+        finish(request, NextStep::refuse);
+    }
+}
+
+void RequestForwarder::Impl::logUnfinished() const {
+    Unfinished found;
+    for (const auto& client : clients_) {
+        if (!client->exchange) {
+            found.unwritten += client->pending() > 0 ? 1 : 0;
+            continue;
+        }
+        const Micros taken = client->request().began;
+        ++found.requests;
+        found.onNewConnections += client->openedAt() > terminatedAt_ ? 1 : 0;
+        found.takenLate += taken > serveUntil_ ? 1 : 0;
+        found.latest = std::max(found.latest, taken - terminatedAt_);
+    }
+    log::info("ended_with", {{"unfinished", found.requests},
+                             {"on_new_connections", found.onNewConnections},
+                             {"taken_late", found.takenLate},
+                             {"latest_taken_ms", found.latest / kMicrosPerMs},
+                             {"unwritten", found.unwritten}});
+}
+
+void RequestForwarder::Impl::endIfIdle() {
+    if (!terminating_ || ended_ || timers_.now() < serveUntil_ || !clients_.empty()) return;
+    // Those whose clients have gone, and that must not run twice, are still at work.
+    if (pools_.anyBusy()) return;
+    endTimer_.wake(0);
+    endAt_ = 0;
+}
+
+}  // namespace marldale::edge_proxy
--- a/src/gateway/http_server/client_connection.cpp
+++ b/src/gateway/http_server/client_connection.cpp
@@ -44,7 +44,8 @@
 ClientConnection::~ClientConnection() = default;
 
 void ClientConnection::start() {
-    wake(timers_.now() + (handler_.closing() ? kClosingIdle : handler_.limits().quiet));
+    openedAt_ = timers_.now();
+    wake(openedAt_ + (handler_.closing() ? kClosingIdle : handler_.limits().quiet));
     read();
 }
 
--- a/src/gateway/http_server/client_connection.h
+++ b/src/gateway/http_server/client_connection.h
@@ -66,6 +66,7 @@
         return state_ == State::reading && reader_.state() == RequestReader::State::idle;
     }
     [[nodiscard]] bool isClosed() const { return state_ == State::closed; }
+    [[nodiscard]] Micros openedAt() const { return openedAt_; }
     void close();
 
 private:
@@ -88,6 +89,7 @@
     std::unique_ptr<ByteStream> stream_;
     Timers& timers_;
     RequestHandler& handler_;
+    Micros openedAt_ = 0;
     RequestReader reader_;
     State state_ = State::reading;
     std::string in_;  // its size is the room for reading
