--- a/src/gateway/edge_proxy/attempts.cpp
+++ b/src/gateway/edge_proxy/attempts.cpp
@@ -246,7 +246,7 @@
 
 void RequestForwarder::Impl::onAttemptTimeout(const ForwardedRequestPtr& request, Micros now) {
     // What a server may be at work on isn't broken off early while this process is about to end.
-    const Micros until = terminating_ ? request->retry.deadline() : request->attemptUntil;
+    const Micros until = termination_.begun() ? request->retry.deadline() : request->attemptUntil;
     if (now >= until) return attemptEnded(request, AttemptResult::silent, now);
     if (!request->peerSuspected && request->connection->peerSeemsGone(now)) {
         // Nothing else is sent there meanwhile. This attempt goes on: its request may have arrived.
@@ -254,7 +254,7 @@
         upstream::Server& server = *request->server;
         if (server.gate.open(now)) server.gate.refused(now, std::nullopt);
         pools_.closeIdle(request->server);
-        if (!terminating_ && retryElsewhere(request, now)) return;
+        if (!termination_.begun() && retryElsewhere(request, now)) return;
     }
     request->wake(request->peerSuspected ? until : std::min(until, now + ServerConnection::kPeerGoneAfter));
 }
--- a/src/gateway/edge_proxy/forwarder_impl.h
+++ b/src/gateway/edge_proxy/forwarder_impl.h
@@ -12,6 +12,7 @@
 #include "gateway/edge_proxy/forwarded_request.h"
 #include "gateway/edge_proxy/readiness.h"
 #include "gateway/edge_proxy/request_forwarder.h"
+#include "gateway/edge_proxy/termination_schedule.h"
 #include "gateway/edge_proxy/waiting_requests.h"
 #include "gateway/http_server/listener.h"
 #include "gateway/http_server/timers.h"
@@ -42,7 +43,7 @@
     void onDrained(http_server::ClientConnection& client) override;
     void onClosed(http_server::ClientConnection& client) override;
     [[nodiscard]] const upstream::Limits& limits() const override { return tables_.limits(); }
-    [[nodiscard]] bool closing() const override { return terminating_; }
+    [[nodiscard]] bool closing() const override { return termination_.begun(); }
     bool hold(std::int64_t bytes) override;
 
     // ServerConnectionOwner.
@@ -121,8 +122,9 @@
     bool wakePosted_ = false;
     std::int64_t heldBodies_ = 0, heldAnswers_ = 0;  // bytes
     upstream::Draw draw_;
-    bool wasReady_ = false, terminating_ = false, ended_ = false, shutDown_ = false;
-    Micros terminatedAt_ = 0, serveUntil_ = 0, endAt_ = 0;
+    bool wasReady_ = false, endNow_ = false, ended_ = false, shutDown_ = false;
+    TerminationSchedule termination_;
+    unsigned refusedLate_ = 0;  // requests that came too late to be finished before the end
     std::function<void()> done_;
     EndTimer endTimer_;
     Micros reportFrom_ = 0;
--- a/src/gateway/edge_proxy/request_forwarder.cpp
+++ b/src/gateway/edge_proxy/request_forwarder.cpp
@@ -87,7 +87,7 @@
 bool RequestForwarder::Impl::isReady() {
     // Once ready it stays so, whatever its controller says or doesn't.
     if (tables_.configured() && tables_.holdsServers()) wasReady_ = true;
-    return wasReady_ && !terminating_;
+    return wasReady_ && !termination_.begun();
 }
 
 Micros RequestForwarder::Impl::retryAfter() {
@@ -135,6 +135,10 @@
     request->queueTime = static_cast<Micros>(static_cast<double>(route->target) * kQueueShare) - kQueueMargin;
     request->waitUntil = incoming.began + request->queueTime;
     client->exchange = request;
+    if (!termination_.takes(now, request->retry.deadline())) {
+        ++refusedLate_;
+        return finish(request, NextStep::refuse);
+    }
     if (!tables_.admit(service, route->kind, now)) return finish(request, NextStep::refuse);
     pickServer(request, now);
 }
@@ -170,7 +174,7 @@
 void RequestForwarder::Impl::onClosed(ServerConnection& connection) {
     if (shutDown_) return;
     pools_.onClosed(connection);
-    if (terminating_) endIfIdle();
+    if (termination_.begun()) endIfIdle();
 }
 
 // ---- RequestForwarder ----
--- a/src/gateway/edge_proxy/termination.cpp
+++ b/src/gateway/edge_proxy/termination.cpp
@@ -12,10 +12,6 @@
 using forwarding::NextStep;
 using http_server::ClientConnection;
 
-// What is tuned.
-constexpr Micros kReadyFor = 2500000;  // after SIGTERM: the platform has missed two looks by then
-constexpr double kReadyShare = 0.45;   // of the grace, if that is less
-constexpr Micros kEndMargin = 300000;  // before the grace ends
 constexpr Micros kMicrosPerMs = 1000;
 
 // What the end leaves without an answer.
@@ -30,20 +26,15 @@
 }  // namespace
 
 void RequestForwarder::Impl::terminate(std::function<void()> done) {
-    if (terminating_) return;
-    terminating_ = true;
+    if (termination_.begun()) return;
+    termination_.begin(timers_.now(), settings_.grace);
     done_ = std::move(done);
-    const Micros now = timers_.now();
-    terminatedAt_ = now;
-    endAt_ = now + std::max<Micros>(0, settings_.grace - kEndMargin);
-    serveUntil_ =
-        now + std::min(kReadyFor, static_cast<Micros>(static_cast<double>(settings_.grace) * kReadyShare));
-    endTimer_.wake(serveUntil_);
+    endTimer_.wake(termination_.serveUntil());
 }
 
 void RequestForwarder::Impl::onEndTimer(Micros now) {
     if (ended_) return;
-    if (now >= endAt_) {
+    if (now >= termination_.endAt() || endNow_) {
         ended_ = true;
         refuseUnsent();
         logUnfinished();
@@ -55,7 +46,7 @@
         if (client->idle()) idle.push_back(client);
     }
     for (const auto& client : idle) client->close();
-    endTimer_.wake(endAt_);
+    endTimer_.wake(termination_.endAt());
     endIfIdle();
 }
 
@@ -82,23 +73,25 @@
         }
         const Micros taken = client->request().began;
         ++found.requests;
-        found.onNewConnections += client->openedAt() > terminatedAt_ ? 1 : 0;
-        found.takenLate += taken > serveUntil_ ? 1 : 0;
-        found.latest = std::max(found.latest, taken - terminatedAt_);
+        found.onNewConnections += client->openedAt() > termination_.begunAt() ? 1 : 0;
+        found.takenLate += taken > termination_.serveUntil() ? 1 : 0;
+        found.latest = std::max(found.latest, taken - termination_.begunAt());
     }
     log::info("ended_with", {{"unfinished", found.requests},
                              {"on_new_connections", found.onNewConnections},
                              {"taken_late", found.takenLate},
                              {"latest_taken_ms", found.latest / kMicrosPerMs},
-                             {"unwritten", found.unwritten}});
+                             {"unwritten", found.unwritten},
+                             {"refused_late", refusedLate_}});
 }
 
 void RequestForwarder::Impl::endIfIdle() {
-    if (!terminating_ || ended_ || timers_.now() < serveUntil_ || !clients_.empty()) return;
+    if (!termination_.begun() || ended_ || !clients_.empty()) return;
+    if (timers_.now() < termination_.serveUntil()) return;
     // Those whose clients have gone, and that must not run twice, are still at work.
     if (pools_.anyBusy()) return;
+    endNow_ = true;
     endTimer_.wake(0);
-    endAt_ = 0;
 }
 
 }  // namespace marldale::edge_proxy
--- a/tests/gateway/ending_proxy_test.cpp
+++ b/tests/gateway/ending_proxy_test.cpp
@@ -1,5 +1,6 @@
 // What an edge proxy does with requests that come after SIGTERM (incident LOST, issue 36).
 #include "ending_proxy.h"
+#include "gateway/edge_proxy/termination_schedule.h"
 
 using namespace marldale::edge_proxy::model;
 
@@ -39,3 +40,20 @@
     CHECK(served > 40 * kHistories);
     CHECK(refused > 0);
 }
+
+TEST_CASE("An ending proxy takes what it can finish, and serves all until the platform has stopped sending",
+          "[ending_proxy]") {
+    using marldale::edge_proxy::TerminationSchedule;
+    TerminationSchedule schedule;
+    const marldale::Micros from = 100 * kSecond;
+    CHECK(schedule.takes(from, from + 60 * kSecond));
+    schedule.begin(from, 6 * kSecond);
+    CHECK(schedule.serveUntil() == from + 2500 * kMs);
+    CHECK(schedule.endAt() == from + 5700 * kMs);
+    CHECK(schedule.takes(from + 2499 * kMs, from + 60 * kSecond));
+    CHECK_FALSE(schedule.takes(from + 2500 * kMs, from + 60 * kSecond));
+    CHECK(schedule.takes(from + 2500 * kMs, from + 5600 * kMs));
+    CHECK_FALSE(schedule.takes(from + 2500 * kMs, from + 5601 * kMs));
+    schedule.begin(from, kSecond);
+    CHECK(schedule.serveUntil() == from + 450 * kMs);
+}
