--- a/src/gateway/controller/controller.cpp
+++ b/src/gateway/controller/controller.cpp
@@ -84,7 +84,8 @@
                }),
       inside_(io),
       timer_(io),
-      distributionLoop_(*this, settings_.bounds.apply) {}
+      distributionLoop_(*this, settings_.bounds.apply),
+      departureCopy_(departureWriter()) {}
 
 Controller::~Controller() = default;
 
@@ -101,7 +102,10 @@
     rules.seed = incarnation_;
     rules.catchUp = settings_.bounds.catchUp;
     stored->self.set_zone(settings_.zone);
-    if (!settings_.dataFolder.empty()) readHints(steadyNow());
+    if (!settings_.dataFolder.empty()) {
+        readDepartures(steadyNow());
+        readHints(steadyNow());
+    }
     log::info("raft_log_opened", {{"number", stored->self.number()},
                                   {"term", stored->term},
                                   {"entries", stored->entries.size()},
@@ -174,7 +178,7 @@
         [this] {
             orders_->finish();
             deliverReplies();
-            endPendingUpdates();
+            endDepartures(departureAcks_.takeAll(), UnavailableReason::stopping);
             control_.close();
         },
         kStopCalls);
@@ -265,7 +269,8 @@
         const bool alone =
             std::any_of(peers_.begin(), peers_.end(), [](const auto& p) { return !p.second.link; });
         nextUpdates_ = now + (alone && now - startedAt_ < kStarting ? kDialAgainStarting : kUpdatesEvery);
-        endLateUpdates(now);
+        endLateDepartures(now);
+        departureCopy_.retry();
         dialPeers(now);
         keepHints(now);
     }
--- a/src/gateway/controller/controller.h
+++ b/src/gateway/controller/controller.h
@@ -14,7 +14,9 @@
 #include "absl/status/status.h"
 #include "gateway/configuration/configuration_store.h"
 #include "gateway/controller/control_server.h"
+#include "gateway/controller/departure_acks.h"
 #include "gateway/controller/disk_writer.h"
+#include "gateway/controller/durable_copy.h"
 #include "gateway/controller/loop_lateness.h"
 #include "gateway/controller/order_queue.h"
 #include "gateway/distribution/configuration_resources.h"
@@ -66,7 +68,9 @@
     struct BoundProxy {
         std::shared_ptr<transport::Link> link;
         proto::Peer peer;
-        bool joined = false;      // the lines' distribution has it
+        bool joined = false;  // the lines' distribution has it
+        // It holds no server that this controller doesn't know of.
+        bool serversWhole = false;
         std::uint64_t index = 0;  // of the configuration it holds
         transport::EchoReceiver echo;
     };
@@ -80,10 +84,6 @@
         Answer answer;
         std::string about;  // for the log
     };
-    struct PendingUpdate {  // an urgent update on its way to another controller
-        Answer answer;
-        Micros until = 0;
-    };
 
     void acceptInside();
     void arrived(boost::asio::ip::tcp::socket socket);
@@ -100,7 +100,14 @@
     void sendToPeers(const proto::Frame& frame);
     void heartbeatFromPeer(const transport::Link* link, const proto::Heartbeat& heartbeat, Micros now);
     void loadReport(const transport::Link* link, const proto::LoadReport& report, Micros now);
-    void updateAcknowledged(std::uint64_t number, Micros now);
+    void updateAcknowledged(const transport::Link* link, std::uint64_t number);
+    void acknowledgeDeparture(const proto::Server& said, Answer answer, Micros now);
+    void answerConfirmedDepartures(Micros now);
+    void endDepartures(const std::vector<DepartureAcks::Number>& numbers, UnavailableReason reason);
+    void departuresChanged(Micros now);
+    [[nodiscard]] DurableCopy::Writer departureWriter();
+    void readDepartures(Micros now);
+    [[nodiscard]] std::vector<std::string> voterAddresses() const;
     [[nodiscard]] PeerClock& clockOf(const std::string& address);
     [[nodiscard]] Micros delayOf(const transport::Link* link) const;
     void keepHints(Micros now);
@@ -129,7 +136,9 @@
     void serversChanged(Micros now);
     void putServer(const registry::Server& server, const proto::ServiceResource* service, Micros now);
     void configurationChanged(Micros now);
+    void putDrop(const std::string& id);
     void admit(distribution::ProxyId id, BoundProxy& proxy, Micros now);
+    void sendServersWhole(Micros now);
     void wakeDistribution(Micros now);
     void flush(Micros now);
     void fillColdTimes(std::vector<proto::Resource>& resources, Micros now) const;
@@ -146,8 +155,7 @@
     void sendHeartbeats(Micros now);
     void sendPeerHeartbeats(Micros now);
     void countProxies(Micros now);
-    void endLateUpdates(Micros now);
-    void endPendingUpdates();
+    void endLateDepartures(Micros now);
     void letGo(distribution::ProxyId id);
 
     boost::asio::io_context& io_;
@@ -182,8 +190,10 @@
     std::unique_ptr<OrderQueue> orders_;
     std::map<OrderId, PendingCall> pendingCalls_;
     OrderId lastOrder_ = 0;
-    std::map<std::uint64_t, PendingUpdate> pendingUpdates_;
-    std::uint64_t lastUpdates_ = 0;
+    DurableCopy departureCopy_;
+    DepartureAcks departureAcks_;
+    std::map<DepartureAcks::Number, Answer> departureAnswers_;
+    DepartureAcks::Number lastDeparture_ = 0;
     std::set<std::string> updatesDue_;
     std::map<std::string, PeerClock> peerClocks_;  // by inside address
     std::map<std::string, std::pair<Micros, std::uint32_t>>
--- /dev/null
+++ b/src/gateway/controller/departure_acks.cpp
@@ -0,0 +1,42 @@
+#include "gateway/controller/departure_acks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marldale::controller {
+
+void DepartureAcks::add(Number number, Micros until) { waiting_[number].until = until; }
+
+void DepartureAcks::confirmed(Number number, const std::string& controller) {
+    const auto at = waiting_.find(number);
+    if (at != waiting_.end()) at->second.confirmedBy.insert(controller);
+}
+
+std::vector<DepartureAcks::Number> DepartureAcks::takeConfirmed(const std::vector<std::string>& voters) {
+    std::vector<Number> taken;
+    for (const auto& [number, waiting] : waiting_) {
+        const auto count =
+            std::count_if(voters.begin(), voters.end(),
+                          [&by = waiting.confirmedBy](const auto& voter) { return by.contains(voter); });
+        if (2 * static_cast<std::size_t>(count) > voters.size()) taken.push_back(number);
+    }
+    for (const Number number : taken) waiting_.erase(number);
+    return taken;
+}
+
+std::vector<DepartureAcks::Number> DepartureAcks::takeLate(Micros now) {
+    std::vector<Number> taken;
+    for (const auto& [number, waiting] : waiting_) {
+        if (now >= waiting.until) taken.push_back(number);
+    }
+    for (const Number number : taken) waiting_.erase(number);
+    return taken;
+}
+
+std::vector<DepartureAcks::Number> DepartureAcks::takeAll() {
+    std::vector<Number> taken;
+    for (const auto& [number, waiting] : std::exchange(waiting_, {})) taken.push_back(number);
+    return taken;
+}
+
+}  // namespace marldale::controller
--- a/src/gateway/controller/desired_resources.cpp
+++ b/src/gateway/controller/desired_resources.cpp
@@ -36,10 +36,12 @@
 void Controller::serversChanged(Micros now) {
     std::vector<std::string> forgotten;
     for (const auto& [key, wanted] : distributor_.wanted()) {
-        if ((key[0] == 'v' || key[0] == 'x') && !registry_.servers().count(key.substr(2)))
-            forgotten.push_back(key);
+        const bool isServer = key[0] == 'v' || key[0] == 'x';
+        if (!isServer || registry_.servers().count(key.substr(2)) != 0) continue;
+        if (key[0] == 'v' || registry_.departed().count(key.substr(2)) == 0) forgotten.push_back(key);
     }
     for (const std::string& key : forgotten) distributor_.remove(key);
+    for (const auto& [id, since] : registry_.departed()) putDrop(id);
     std::map<std::string_view, const proto::ServiceResource*> services;
     for (const proto::ServiceResource& service : configurations_.configuration().services)
         services[service.name()] = &service;
@@ -55,6 +57,15 @@
     distributionLoop_.schedule.requestUrgent(now);
 }
 
+// Said also to proxies that may hold the server from another controller.
+void Controller::putDrop(const std::string& id) {
+    const std::string key = "x " + id;
+    if (distributor_.wanted().count(key) != 0) return;
+    proto::Resource resource;
+    resource.set_server_drop(id);
+    distributor_.put(key, distribution::wantedOf(std::move(resource), true));
+}
+
 // Without a service nobody is told of the server.
 void Controller::putServer(const registry::Server& server, const proto::ServiceResource* service,
                            Micros now) {
@@ -63,11 +74,7 @@
     proto::Resource resource;
     if (!server.usable() || service == nullptr) {
         distributor_.remove(key);
-        // Said also to a proxy that may hold it from another planner.
-        if (!server.usable() && !distributor_.wanted().count("x " + id)) {
-            resource.set_server_drop(id);
-            distributor_.put("x " + id, distribution::wantedOf(std::move(resource), true));
-        }
+        if (!server.usable()) putDrop(id);
         return;
     }
     distributor_.remove("x " + id);
@@ -133,14 +140,32 @@
         if (batch.whole) orders->set_index(configurations_.index());
         for (proto::Resource& resource : batch.lines) *orders->add_resources() = std::move(resource);
         const auto bytes = std::make_shared<const std::string>(frame.SerializeAsString());
-        for (const distribution::ProxyId proxy : batch.proxies)
+        for (const distribution::ProxyId proxy : batch.proxies) {
             distributionLoop_.outbox.add({proxy, bytes, orders->index()});
+            const auto bound = proxies_.find(proxy);
+            if (batch.fresh && bound != proxies_.end()) bound->second.serversWhole = orders->servers_whole();
+        }
     }
+    sendServersWhole(now);
     if (const Micros due = distributor_.nextDue(); due != INT64_MAX)
         distributionLoop_.schedule.requestAt(due);
     arm();
 }
 
+// A proxy whose copy came before this controller knew all servers keeps those that the copy didn't name. Once
+// all are known, and it holds them, the others go.
+void Controller::sendServersWhole(Micros now) {
+    if (!whole(now)) return;
+    proto::Frame frame;
+    frame.mutable_batch()->set_servers_whole(true);
+    const auto bytes = std::make_shared<const std::string>(frame.SerializeAsString());
+    for (auto& [id, proxy] : proxies_) {
+        if (!proxy.joined || proxy.serversWhole || distributor_.unanswered(id)) continue;
+        proxy.serversWhole = true;
+        distributionLoop_.outbox.add({id, bytes, 0});
+    }
+}
+
 void Controller::runModules(Micros now) {
     if (steering_.nextDue() > now) return;
     for (distribution::Steering::Batch& batch : steering_.turn(now, kModulesASlice)) {
--- a/src/gateway/controller/disk_writer.cpp
+++ b/src/gateway/controller/disk_writer.cpp
@@ -28,11 +28,11 @@
     const bool whole = at == text.size() && ::fdatasync(file) == 0;
     return ::close(file) == 0 && whole;
 }
-void syncFolderOf(const std::string& path) {
+bool syncFolderOf(const std::string& path) {
     const int folder = ::open(path.substr(0, path.rfind('/')).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) return;
-    (void)::fsync(folder);
-    (void)::close(folder);
+    if (folder < 0) return false;
+    const bool synced = ::fsync(folder) == 0;
+    return ::close(folder) == 0 && synced;
 }
 
 }  // namespace
@@ -60,14 +60,23 @@
     changed_.notify_one();
 }
 
-void DiskWriter::keep(std::string path, std::string text) {
+void DiskWriter::keep(std::string path, std::string text, std::function<void(bool)> ended) {
     {
         const std::lock_guard lock(mutex_);
-        keeping_[std::move(path)] = std::move(text);
+        keeping_[std::move(path)] = {std::move(text), std::move(ended)};
     }
     changed_.notify_one();
 }
 
+void DiskWriter::writeKept(const std::string& path, const Keep& keep) {
+    std::string head;
+    bytes::putFixed(head, static_cast<std::uint64_t>(XXH3_64bits(keep.text.data(), keep.text.size())));
+    const std::string beside = path + ".new";
+    const bool durable = writeWhole(beside, head + keep.text) &&
+                         std::rename(beside.c_str(), path.c_str()) == 0 && syncFolderOf(path);
+    if (keep.ended) boost::asio::post(io_, [ended = keep.ended, durable] { ended(durable); });
+}
+
 std::optional<std::string> DiskWriter::kept(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream all;
@@ -86,13 +95,7 @@
         if (queue_.empty() && !keeping_.empty() && !ending_) {
             const auto next = keeping_.extract(keeping_.begin());
             lock.unlock();
-            std::string head;
-            bytes::putFixed(
-                head, static_cast<std::uint64_t>(XXH3_64bits(next.mapped().data(), next.mapped().size())));
-            const std::string beside = next.key() + ".new";
-            if (writeWhole(beside, head + next.mapped()) &&
-                std::rename(beside.c_str(), next.key().c_str()) == 0)
-                syncFolderOf(next.key());
+            writeKept(next.key(), next.mapped());
             lock.lock();
             continue;
         }
--- a/src/gateway/controller/disk_writer.h
+++ b/src/gateway/controller/disk_writer.h
@@ -29,14 +29,20 @@
     DiskWriter(const DiskWriter&) = delete;
     DiskWriter& operator=(const DiskWriter&) = delete;
     void write(raft::Write write);
-    // A file that only spares work later: written whole beside the old one and moved over it, behind all
-    // writes that wait. A failure is nothing.
-    void keep(std::string path, std::string text);
+    // A file that is written whole beside the old one and moved over it, behind all writes that wait.
+    // `ended`, if given, is called on the loop and told whether the file is durable; it isn't called for a
+    // text that a newer one for the same path has replaced before it was written.
+    void keep(std::string path, std::string text, std::function<void(bool)> ended = nullptr);
     // Nothing if it isn't there or isn't whole.
     [[nodiscard]] static std::optional<std::string> kept(const std::string& path);
 
 private:
+    struct Keep {
+        std::string text;
+        std::function<void(bool)> ended;
+    };
     void run();
+    void writeKept(const std::string& path, const Keep& keep);
 
     boost::asio::io_context& io_;
     std::unique_ptr<raft::Store> store_;
@@ -45,7 +51,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<raft::Write> queue_;
-    std::map<std::string, std::string> keeping_;  // by path, the newest text
+    std::map<std::string, Keep> keeping_;  // by path, the newest text
     bool ending_ = false;
     std::thread thread_;
 };
--- a/src/gateway/controller/server_updates.cpp
+++ b/src/gateway/controller/server_updates.cpp
@@ -13,7 +13,6 @@
 using transport::Link;
 using transport::steadyNow;
 
-constexpr Micros kAcknowledgedWithin = 700000;
 constexpr Micros kHintsEvery = 2000000;
 
 constexpr std::size_t kBootIdSize = 36;
@@ -46,6 +45,10 @@
         const auto at = registry_.servers().find(id);
         if (at != registry_.servers().end()) *news->add_servers() = registry_.wordOf(at->second, now);
     }
+    // Also those that have gone: whoever was down or cut off when they went has not heard of it.
+    if (all) {
+        for (proto::Server& departed : registry_.departures(now)) *news->add_servers() = std::move(departed);
+    }
     return out;
 }
 
@@ -69,18 +72,20 @@
         // Passed on once: the one that heard it may be gone before it has told everyone.
         if (what == registry::Registry::News::urgent) *urgent.mutable_updates()->add_servers() = said;
     }
-    if (urgent.has_updates()) sendToPeers(urgent);
+    if (urgent.has_updates()) {
+        sendToPeers(urgent);
+        departuresChanged(now);
+    }
     if (news.whole() && news.sender_whole()) gotWhole_ = true;
     if (changed) serversChanged(now);
-    if (news.number() != 0) {
+    if (news.number() == 0) return;
+    departureCopy_.whenDurable([link, number = news.number()] {
         proto::Frame answer;
-        answer.mutable_updates_ack()->set_number(news.number());
+        answer.mutable_updates_ack()->set_number(number);
         link->send(answer);
-    }
+    });
 }
 
-// Hints only: what is on disk is late by some seconds, so servers of it go soon if they don't beat. It spares
-// a system that starts over the wait for everyone's beat.
 // Hints only: what is on disk is late by some seconds, so servers of it go soon if they don't beat. It spares
 // a system that starts over the wait for everyone's beat. Its age counts on the clock of the machine's boot,
 // which no step of the time of day moves; after another boot the age is unknown.
@@ -111,26 +116,10 @@
     if (what != registry::Registry::News::old) updatesDue_.insert(said.id());
     if (what == registry::Registry::News::changed || what == registry::Registry::News::urgent)
         serversChanged(now);
-    // A server that leaves is acknowledged only once another controller knows it (this one may be gone the
-    // next moment), and by one that is in contact with a majority (the proxies of one that is cut off have
-    // left it). A repeat asks again.
+    if (what == registry::Registry::News::urgent) departuresChanged(now);
     const bool leaves = what == registry::Registry::News::urgent || said.emptying() || said.gone();
     if (!leaves) return answer({});
-    if (!inQuorumContact(now)) return answer(problem(503, textOf(UnavailableReason::noQuorumContact)));
-    proto::Frame frame;
-    const auto at = registry_.servers().find(said.id());
-    *frame.mutable_updates()->add_servers() =
-        at == registry_.servers().end() ? said : registry_.wordOf(at->second, now);
-    frame.mutable_updates()->set_number(++lastUpdates_);
-    bool sent = false;
-    for (auto& [address, peer] : peers_) {
-        if (!peer.link) continue;
-        peer.link->send(frame);
-        sent = true;
-    }
-    if (!sent) return answer(problem(503, "no other controller is in reach"));
-    pendingUpdates_[lastUpdates_] = {std::move(answer), now + kAcknowledgedWithin};
-    arm();
+    acknowledgeDeparture(said, std::move(answer), now);
 }
 
 void Controller::leave(const std::string& id, Answer answer) {
@@ -139,7 +128,6 @@
     if (at != registry_.servers().end()) said = at->second.said;
     said.set_id(id);
     said.set_gone(true);
-    said.set_call_count(said.call_count() + 1);
     beat(std::move(said), std::move(answer));
 }
 
@@ -150,28 +138,4 @@
     return clock == peerClocks_.end() ? 0 : clock->second.delay;
 }
 
-void Controller::updateAcknowledged(std::uint64_t number, Micros now) {
-    const auto at = pendingUpdates_.find(number);
-    if (at == pendingUpdates_.end()) return;
-    const Answer answer = std::move(at->second.answer);
-    pendingUpdates_.erase(at);
-    if (!inQuorumContact(now)) return answer(problem(503, textOf(UnavailableReason::noQuorumContact)));
-    answer({});
-}
-
-void Controller::endLateUpdates(Micros now) {
-    std::vector<Answer> late;
-    for (auto at = pendingUpdates_.begin(); at != pendingUpdates_.end();) {
-        const bool isLate = now >= at->second.until;
-        if (isLate) late.push_back(std::move(at->second.answer));
-        at = isLate ? pendingUpdates_.erase(at) : std::next(at);
-    }
-    for (const Answer& answer : late) answer(problem(503, textOf(UnavailableReason::timedOut)));
-}
-
-void Controller::endPendingUpdates() {
-    for (const auto& [number, update] : std::exchange(pendingUpdates_, {}))
-        update.answer(problem(503, textOf(UnavailableReason::stopping)));
-}
-
 }  // namespace marldale::controller
--- a/src/gateway/registry/registry.cpp
+++ b/src/gateway/registry/registry.cpp
@@ -18,34 +18,40 @@
 }  // namespace
 
 Registry::News Registry::heard(Micros now, const proto::Server& said) {
-    if (said.id().empty() || gone_.count(said.id()) != 0) return News::old;
+    if (said.id().empty() || departed_.count(said.id()) != 0) return News::old;
     const Micros at = now - std::max<Micros>(0, said.heard_ago());
+    if (said.gone()) return signOff(said.id(), at, now);
     const auto known = servers_.find(said.id());
     const bool isNew = known == servers_.end();
     if (isNew) {
-        if (said.gone()) {
-            gone_[said.id()] = now;
-            return News::urgent;
-        }
         if (servers_.size() >= settings_.most) return News::old;
     } else if (said.call_count() < known->second.said.call_count()) {
-        return News::old;
-    } else if (said.call_count() == known->second.said.call_count() && !said.gone()) {
+        return heardLate(known->second, said);
+    } else if (said.call_count() == known->second.said.call_count()) {
         const bool later = at > known->second.heardAt;
         known->second.heardAt = std::max(known->second.heardAt, at);
         return later ? News::same : News::old;
     }
     lastHeard_ = std::max(lastHeard_, at);
-    if (said.gone()) return signOff(said.id(), now);
     if (isNew) claimAddress(said, now);
     return update(servers_[said.id()], said, at, now, isNew);
 }
 
-Registry::News Registry::signOff(const std::string& id, Micros now) {
-    const auto known = servers_.find(id);
-    byAddress_.erase(known->second.said.address());
-    servers_.erase(known);
-    gone_[id] = now;
+Registry::News Registry::heardLate(Server& server, const proto::Server& said) {
+    if (!said.emptying() || server.said.emptying()) return News::old;
+    server.said.set_emptying(true);
+    ++changes_;
+    return News::urgent;
+}
+
+Registry::News Registry::signOff(const std::string& id, Micros at, Micros now) {
+    if (now - at > settings_.goneKept) return News::old;
+    lastHeard_ = std::max(lastHeard_, at);
+    if (const auto known = servers_.find(id); known != servers_.end()) {
+        byAddress_.erase(known->second.said.address());
+        servers_.erase(known);
+    }
+    departed_[id] = at;
     ++changes_;
     return News::urgent;
 }
@@ -53,7 +59,7 @@
 void Registry::claimAddress(const proto::Server& said, Micros now) {
     const auto before = byAddress_.find(said.address());
     if (before != byAddress_.end()) {
-        gone_[before->second] = now;
+        departed_[before->second] = now;
         servers_.erase(before->second);
     }
     byAddress_[said.address()] = said.id();
@@ -75,7 +81,9 @@
     const bool coldChanged = updateColdTime(server, said, at, now);
     const bool changed = isNew || coldChanged || placedOtherwise(server.said, said);
     if (server.firstAt == 0) server.firstAt = now - std::max<Micros>(0, said.age());
+    const bool departing = server.said.emptying();
     server.said = said;
+    if (departing) server.said.set_emptying(true);
     server.heardAt = std::max(server.heardAt, at);
     if (!emptied && !changed) return News::same;
     ++changes_;
@@ -83,9 +91,8 @@
 }
 
 void Registry::hint(Micros now, const proto::Server& said, Micros ago) {
-    if (said.id().empty() || said.gone() || servers_.count(said.id()) != 0 ||
-        byAddress_.count(said.address()) != 0)
-        return;
+    if (said.id().empty() || said.gone() || departed_.count(said.id()) != 0) return;
+    if (servers_.count(said.id()) != 0 || byAddress_.count(said.address()) != 0) return;
     Server& server = servers_[said.id()];
     server.said = said;
     server.heardAt = now - static_cast<Micros>(settings_.missed * static_cast<double>(settings_.beatEvery)) +
@@ -108,7 +115,7 @@
     if (at == servers_.end()) return false;
     byAddress_.erase(at->second.said.address());
     servers_.erase(at);
-    gone_[id] = now;
+    departed_[id] = now;
     ++changes_;
     return true;
 }
@@ -125,7 +132,7 @@
 }
 
 bool Registry::tick(Micros now) {
-    std::erase_if(gone_, [&](const auto& at) { return now - at.second > settings_.goneKept; });
+    std::erase_if(departed_, [&](const auto& at) { return now - at.second > settings_.goneKept; });
     if (now - lastHeard_ > kDeafAfter) return false;
     const auto silent = static_cast<Micros>(settings_.missed * static_cast<double>(settings_.beatEvery));
     const std::size_t before = servers_.size();
@@ -133,12 +140,25 @@
         const Server& server = at.second;
         if (now - server.heardAt <= silent || now - server.aliveAt <= settings_.aliveFor) return false;
         byAddress_.erase(server.said.address());
-        return true;  // not remembered as gone: a beat brings it back
+        // One that was leaving has ended; any other comes back with its next beat.
+        if (server.said.emptying()) departed_[at.first] = now;
+        return true;
     });
     if (servers_.size() != before) ++changes_;
     return servers_.size() != before;
 }
 
+std::vector<proto::Server> Registry::departures(Micros now) const {
+    std::vector<proto::Server> out;
+    for (const auto& [id, at] : departed_) {
+        proto::Server& word = out.emplace_back();
+        word.set_id(id);
+        word.set_gone(true);
+        word.set_heard_ago(now - at);
+    }
+    return out;
+}
+
 Micros Registry::coldLeft(const Server& server, Micros now) const {
     return std::max<Micros>(0, server.coldUntil - now);
 }
--- a/src/gateway/registry/registry.h
+++ b/src/gateway/registry/registry.h
@@ -1,5 +1,6 @@
-// Which servers there are, by their own word: beats, sign-offs, silence. Shared among the controller as
-// differences; after a loss it is built anew from the servers' next beats. No I/O.
+// Which servers there are, by their own calls: beats, sign-offs, silence. Shared among the controllers as
+// differences; after a loss it is built anew from the servers' next beats. A departure (`emptying`, or a
+// sign-off) is final for the incarnation that said it: no other word, older or newer, takes it back. No I/O.
 #pragma once
 
 #include <map>
@@ -20,7 +21,7 @@
     Micros hintFresh = 6000000;  // an older word says nothing of cold times
     Micros hintCold = 5000000;
     Micros aliveFor = 3000000;   // an answer to a proxy speaks for a silent server this long
-    Micros goneKept = 60000000;  // what has signed off is remembered, lest late news bring it back
+    Micros goneKept = 60000000;  // what has departed is remembered, lest a late beat bring it back
     std::size_t most = 20000;
 };
 
@@ -48,7 +49,7 @@
     // A beat or a sign-off (`gone`), first hand or by another controller (then `heard_ago` tells how old).
     News heard(Micros now, const proto::Server& said);
     // From an earlier run's disk, written `ago` by the time of day: gone if it doesn't beat soon, and cold
-    // until then where its word is too old to tell. Never outweighs what was heard.
+    // until then where its word is too old to tell. Never outweighs what was heard, nor a departure.
     void hint(Micros now, const proto::Server& said, Micros ago);
     // A proxy had a good answer from it.
     void alive(Micros now, const std::string& id);
@@ -60,14 +61,20 @@
     bool tick(Micros now);
 
     [[nodiscard]] const std::map<std::string, Server>& servers() const { return servers_; }
+    // Incarnations that may not come back, and since when.
+    [[nodiscard]] const std::map<std::string, Micros>& departed() const { return departed_; }
+    // The same for another controller, or for the disk.
+    [[nodiscard]] std::vector<proto::Server> departures(Micros now) const;
     [[nodiscard]] Micros coldLeft(const Server& server, Micros now) const;
     // For another controller.
     [[nodiscard]] proto::Server wordOf(const Server& server, Micros now) const;
     [[nodiscard]] std::uint64_t changes() const { return changes_; }
 
 private:
-    // A server that has ended is forgotten, and its id is never taken again.
-    News signOff(const std::string& id, Micros now);
+    // Its id is never taken again, whatever its call count says. `at`: when it was said.
+    News signOff(const std::string& id, Micros at, Micros now);
+    // A word that is older than the newest one known; only a departure still counts.
+    News heardLate(Server& server, const proto::Server& said);
     // A new incarnation at an address voids the old one.
     void claimAddress(const proto::Server& said, Micros now);
     // Takes over how long the server is still cold; returns whether that changed by more than a beat's noise.
@@ -77,7 +84,7 @@
     Settings settings_;
     std::map<std::string, Server> servers_;
     std::map<std::string, std::string> byAddress_;  // the incarnation that has it
-    std::map<std::string, Micros> gone_;            // ids that may not come back
+    std::map<std::string, Micros> departed_;
     Micros lastHeard_ = 0;
     std::uint64_t changes_ = 0;
 };
--- a/src/gateway/upstream/tables.cpp
+++ b/src/gateway/upstream/tables.cpp
@@ -77,6 +77,7 @@
     if (orders.index() != 0 && orders.index() < index_) return false;
     if (orders.fresh()) clear(orders.servers_whole());
     for (const proto::Resource& line : orders.resources()) obeyLine(line, now);
+    if (orders.servers_whole() && !orders.fresh()) dropUnconfirmed();
     if (orders.index() != 0) index_ = orders.index();
     return true;
 }
@@ -99,7 +100,18 @@
         service->budgetTold = false;
         service->stale = true;
     }
-    for (auto& [id, server] : servers_) relist(*server);
+    for (auto& [id, server] : servers_) {
+        server->confirmed = false;
+        relist(*server);
+    }
+}
+
+void Tables::dropUnconfirmed() {
+    std::vector<std::string> unconfirmed;
+    for (const auto& [id, server] : servers_) {
+        if (!server->confirmed) unconfirmed.push_back(id);
+    }
+    for (const std::string& id : unconfirmed) dropServer(id);
 }
 
 void Tables::relist(Server& server) {
@@ -135,6 +147,7 @@
     }
     server->zone = line.zone();
     server->voided = false;
+    server->confirmed = true;
     server->inFlightMost = line.in_flight_most();
     server->connectionsMost = line.connections_most();
     server->coldMost = line.cold_most();
--- a/src/gateway/upstream/tables.h
+++ b/src/gateway/upstream/tables.h
@@ -49,8 +49,9 @@
 // gone it is `listed` no more and gets nothing.
 struct Server {
     std::string id, service, address, zone;
-    bool listed = true;   // it has a line, and its zone isn't emptied
-    bool voided = false;  // another incarnation has answered from its address
+    bool listed = true;     // it has a line, and its zone isn't emptied
+    bool voided = false;    // another incarnation has answered from its address
+    bool confirmed = true;  // named by the present controller, not only by an earlier one
     unsigned inFlightMost = 0, connectionsMost = 0,
              coldMost = 0;  // of this proxy; 0 in the first two: no bound
     Micros coldUntil = 0;
@@ -192,6 +193,8 @@
     void emptyZone(const std::string& zone);
     void fillZone(const std::string& zone, Micros now);
     void clear(bool servers);
+    // Those that the present controller, which knows all servers, has not named.
+    void dropUnconfirmed();
     void dropServer(const std::string& id);
     void relist(Server& server);
     Service& service(std::string_view name);
