Edge proxy: at the end what waits for another attempt is answered; a moment for the last answers

Cause: a request whose attempt may have run and that waited for room was cut at the end; answers being written were too. Change: finishUnsent gives each its final answer; from 300 to 150 ms before the grace ends answers that come or are being written still go out, and no attempt begins; unfinished requests are logged one by one.

--- a/src/gateway/edge_proxy/forwarder_impl.h
+++ b/src/gateway/edge_proxy/forwarder_impl.h
@@ -102,8 +102,11 @@
 
     // The end of the process (termination.cpp).
     void onEndTimer(Micros now);
-    void refuseUnsent();
-    void logUnfinished() const;
+    void endProcess();
+    void closeIdleClients();
+    void finishUnsent(Micros now);
+    void logUnfinished();
+    void logUnfinished(http_server::ClientConnection& client) const;
     void endIfIdle();
 
     [[nodiscard]] bool isReady();
--- a/src/gateway/edge_proxy/termination.cpp
+++ b/src/gateway/edge_proxy/termination.cpp
@@ -12,7 +12,9 @@
 using forwarding::NextStep;
 using http_server::ClientConnection;
 
+constexpr Micros kFlushCheckEvery = 20000;
 constexpr Micros kMicrosPerMs = 1000;
+constexpr unsigned kLoggedMost = 5;  // unfinished requests, one line each
 
 // What the end leaves without an answer.
 struct Unfinished {
@@ -34,37 +36,48 @@
 
 void RequestForwarder::Impl::onEndTimer(Micros now) {
     if (ended_) return;
-    if (now >= termination_.endAt() || endNow_) {
-        ended_ = true;
-        refuseUnsent();
-        logUnfinished();
-        if (done_) done_();
-        return;
+    if (endNow_ || now >= termination_.lastMoment()) return endProcess();
+    if (now < termination_.endAt()) {
+        closeIdleClients();
+        endTimer_.wake(termination_.endAt());
+    } else {
+        // What is on its way to a client, or nearly, still has a moment.
+        finishUnsent(now);
+        endTimer_.wake(std::min(now + kFlushCheckEvery, termination_.lastMoment()));
     }
+    endIfIdle();
+}
+
+void RequestForwarder::Impl::endProcess() {
+    ended_ = true;
+    finishUnsent(timers_.now());
+    logUnfinished();
+    if (done_) done_();
+}
+
+void RequestForwarder::Impl::closeIdleClients() {
     std::vector<std::shared_ptr<ClientConnection>> idle;
     for (const auto& client : clients_) {
         if (client->idle()) idle.push_back(client);
     }
     for (const auto& client : idle) client->close();
-    endTimer_.wake(termination_.endAt());
-    endIfIdle();
 }
 
-// A request of which nothing was sent is refused rather than cut: its client may send it elsewhere.
-void RequestForwarder::Impl::refuseUnsent() {
+// Requests that no server has now get their final answer rather than a cut: if nothing was sent, a refusal,
+// so that the client may send it elsewhere; else that it may have run.
+void RequestForwarder::Impl::finishUnsent(Micros now) {
     const std::vector<std::shared_ptr<ClientConnection>> clients(clients_.begin(), clients_.end());
     for (const auto& client : clients) {
         if (!client->exchange) continue;
         const auto request = std::static_pointer_cast<ForwardedRequest>(client->exchange);
-        const bool unsent = request->stage == Stage::waiting || request->stage == Stage::connecting;
-        if (!unsent || request->retry.mayHaveRun()) continue;
+        if (request->stage != Stage::waiting && request->stage != Stage::connecting) continue;
         if (request->stage == Stage::waiting) waiting_.remove(*request);
         release(*request);
-        finish(request, NextStep::refuse);
+        finish(request, request->retry.finalStep(now));
     }
 }
 
-void RequestForwarder::Impl::logUnfinished() const {
+void RequestForwarder::Impl::logUnfinished() {
     Unfinished found;
     for (const auto& client : clients_) {
         if (!client->exchange) {
@@ -72,7 +85,7 @@
             continue;
         }
         const Micros taken = client->request().began;
-        ++found.requests;
+        if (found.requests++ < kLoggedMost) logUnfinished(*client);
         found.onNewConnections += client->openedAt() > termination_.begunAt() ? 1 : 0;
         found.takenLate += taken > termination_.serveUntil() ? 1 : 0;
         found.latest = std::max(found.latest, taken - termination_.begunAt());
@@ -85,6 +98,19 @@
                              {"refused_late", refusedLate_}});
 }
 
+void RequestForwarder::Impl::logUnfinished(ClientConnection& client) const {
+    const auto request = std::static_pointer_cast<ForwardedRequest>(client.exchange);
+    const Micros now = loop_->now();
+    log::info("unfinished_request", {{"id", client.request().tryId},
+                                     {"streaming", request->stage == Stage::streaming},
+                                     {"taken_ms_ago", (now - client.request().began) / kMicrosPerMs},
+                                     {"sent_ms_ago", (now - request->sentAt) / kMicrosPerMs},
+                                     {"sends", request->retry.sends()},
+                                     {"server", request->server ? request->server->id : ""},
+                                     {"peer_suspected", request->peerSuspected},
+                                     {"unwritten", client.pending()}});
+}
+
 void RequestForwarder::Impl::endIfIdle() {
     if (!termination_.begun() || ended_ || !clients_.empty()) return;
     if (timers_.now() < termination_.serveUntil()) return;
--- a/src/gateway/edge_proxy/termination_schedule.h
+++ b/src/gateway/edge_proxy/termination_schedule.h
@@ -16,14 +16,20 @@
         serveUntil_ =
             now + std::min(kServeFor, static_cast<Micros>(static_cast<double>(grace) * kServeShare));
         endAt_ = now + std::max<Micros>(0, grace - kEndMargin);
+        lastMoment_ = now + std::max<Micros>(0, grace - kKillMargin);
         begun_ = true;
     }
     [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] Micros begunAt() const { return begunAt_; }
     /// Until then requests are served as before: the platform, which looks at readiness, may still send.
     [[nodiscard]] Micros serveUntil() const { return serveUntil_; }
-    /// The process ends then, whatever is under way.
+    /// From then on nothing is sent to servers any more; answers that come, or are being written, have until
+    /// `lastMoment`.
     [[nodiscard]] Micros endAt() const { return endAt_; }
+    /// The process ends then, whatever is under way.
+    [[nodiscard]] Micros lastMoment() const { return lastMoment_; }
+    /// No further attempt may begin.
+    [[nodiscard]] bool isOver(Micros now) const { return begun_ && now >= endAt_; }
     /// Whether a request that is read now may be sent to a server. After `serveUntil` only if it is over
     /// before the end in any case, since its client waits until `deadline` at most: a server that has begun
     /// work can't be taken back, and an answer that comes after the end reaches nobody.
@@ -36,10 +42,11 @@
     static constexpr Micros kServeFor = 2500000;     // the platform has missed two looks by then
     static constexpr double kServeShare = 0.45;      // of the grace, if that is less
     static constexpr Micros kEndMargin = 300000;     // before the grace ends
+    static constexpr Micros kKillMargin = 150000;    // before the process would be killed
     static constexpr Micros kAnswerMargin = 100000;  // from a deadline until its answer has left
 
     bool begun_ = false;
-    Micros begunAt_ = 0, serveUntil_ = 0, endAt_ = 0;
+    Micros begunAt_ = 0, serveUntil_ = 0, endAt_ = 0, lastMoment_ = 0;
 };
 
 }  // namespace marldale::edge_proxy
--- a/tests/gateway/request_forwarder_test.cpp
+++ b/tests/gateway/request_forwarder_test.cpp
@@ -646,6 +646,38 @@
     CHECK(world.ran - ranFrom < 1100000);
 }
 
+TEST_CASE("What waits for another attempt when the process ends is answered, not cut",
+          "[request_forwarder]") {
+    constexpr Micros kLongTarget = 8000000, kGiveUp = 4000000;  // it may wait for room until after the end
+    World world;
+    world.settings.grace = 700000;
+    const auto holdOrReset = [](const Seen& seen) {
+        return Does{"", seen.id == "held" ? Does::Then::nothing : Does::Then::reset};
+    };
+    for (const char* id : {"i-1", "i-2"}) world.server(id).script = holdOrReset;
+    proto::ResourceBatch orders = world.batch();
+    World::route(orders, "/q/", proto::RouteResource::READ_ONLY, "s", 2, kLongTarget, kGiveUp);
+    for (auto& line : *orders.mutable_resources()) {
+        if (line.has_server()) line.mutable_server()->set_in_flight_most(1);
+    }
+    world.start(orders);
+    Client holder(world), waiting(world);
+    const auto arrivals = [&] { return world.servers[0]->seen.size() + world.servers[1]->seen.size(); };
+    holder.send(get("/q/a", "held"));
+    REQUIRE(world.until([&] { return arrivals() == 1; }));
+    waiting.send(get("/q/a", "reset"));
+    REQUIRE(world.until([&] { return arrivals() == 2; }));
+    bool done = false;
+    world.forwarder->terminate([&] {
+        done = true;
+        asio::post(world.loop, [&] { world.forwarder.reset(); });
+    });
+    const Reply reply = waiting.read();
+    CHECK(reply.status == 502);
+    CHECK(fieldOf(reply.head, "Connection") == "close");
+    REQUIRE(world.until([&] { return done; }));
+}
+
 TEST_CASE("What is counted goes to the planner", "[request_forwarder]") {
     Two world([](const Seen&) { return Does{"", Does::Then::reset}; });
     Client client(world);
--- /dev/null
+++ b/tools/soak_run/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of the gateway: real processes on loopback, stand-in servers and clients, seeded troubles."""
