--- a/src/gateway/program/program.cpp
+++ b/src/gateway/program/program.cpp
@@ -50,12 +50,32 @@
     return kFault;
 }
 
+// Signals that come before the program can handle them wait until it can, or until this ends; by default they
+// would end it at once.
+class HeldSignals {
+public:
+    HeldSignals() {
+        sigemptyset(&held_);
+        for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&held_, number);
+        pthread_sigmask(SIG_BLOCK, &held_, nullptr);
+    }
+    ~HeldSignals() { release(); }
+    HeldSignals(const HeldSignals&) = delete;
+    HeldSignals& operator=(const HeldSignals&) = delete;
+    void release() { pthread_sigmask(SIG_UNBLOCK, &held_, nullptr); }
+
+private:
+    sigset_t held_{};
+};
+
 // SIGTERM and SIGINT once, SIGHUP any number of times.
 class Signals {
 public:
-    Signals(boost::asio::io_context& io, std::function<void()> end, std::function<void()> again)
+    Signals(boost::asio::io_context& io, HeldSignals& held, std::function<void()> end,
+            std::function<void()> again)
         : signals_(io, SIGTERM, SIGINT, SIGHUP), end_(std::move(end)), again_(std::move(again)) {
         wait();
+        held.release();
     }
 
 private:
@@ -97,12 +117,12 @@
     take(*read);
 }
 
-int controller(const std::string& path, const settings::Settings& settings) {
+int controller(const std::string& path, const settings::Settings& settings, HeldSignals& held) {
     boost::asio::io_context io(1);
     controller::Controller program(io, settings);
     if (auto s = program.start(); !s.ok()) return fault("cannot_start", s);
     const Signals signals(
-        io, [&] { program.stop([&] { io.stop(); }); },
+        io, held, [&] { program.stop([&] { io.stop(); }); },
         [&] { reread(path, [&](const settings::Settings& next) { program.reload(next); }); });
     log::info("ready", {{"control", settings.control}});
     runAll(io);
@@ -110,7 +130,7 @@
     return 0;
 }
 
-int proxy(const std::string& path, const settings::Settings& settings) {
+int proxy(const std::string& path, const settings::Settings& settings, HeldSignals& held) {
     boost::asio::io_context io(1);
     upstream::Tables tables;
     edge_proxy::ForwarderSettings rules;
@@ -140,7 +160,7 @@
     if (auto s = forwarder.listen(); !s.ok()) return fault("cannot_start", s);
     if (auto s = binding.start(); !s.ok()) return fault("cannot_start", s);
     const Signals signals(
-        io,
+        io, held,
         [&] {
             forwarder.terminate([&] {
                 binding.stop();
@@ -208,6 +228,7 @@
         return 0;
     }
     if ((command != kEdgeProxyCommand && command != kControllerCommand) || words.size() != 2) return usage();
+    HeldSignals held;
     std::signal(SIGPIPE, SIG_IGN);
     const std::string path = settingsPath();
     const auto settings = settings::readFile(path);
@@ -218,7 +239,7 @@
                      absl::InvalidArgumentError(command == kEdgeProxyCommand ? "listen_on has no front"
                                                                              : "listen_on has no control"));
     }
-    return command == kEdgeProxyCommand ? proxy(path, *settings) : controller(path, *settings);
+    return command == kEdgeProxyCommand ? proxy(path, *settings, held) : controller(path, *settings, held);
 }
 
 }  // namespace marldale::program
--- a/tests/gateway/program_end_test.cpp
+++ b/tests/gateway/program_end_test.cpp
@@ -1,9 +1,11 @@
 // How the program ends on a signal: with status 0, and with its last log line written to the end. The bench
 // once had a fault here; the program has no way around it, and these hold by themselves.
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <rapidjson/document.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -12,6 +14,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -34,11 +37,19 @@
 // The program in one of its roles, with a folder of its own; what it logs comes through a pipe.
 class Running {
 public:
-    explicit Running(const std::string& role) {
+    enum class Settings { file, heldBack };  // held back: the program waits for them until `giveSettings`
+
+    explicit Running(const std::string& role, Settings settings = Settings::file) {
         std::string pattern = (std::filesystem::temp_directory_path() / "program-end-XXXXXX").string();
         REQUIRE(::mkdtemp(pattern.data()) != nullptr);
         folder_ = pattern;
-        const std::string settings = writeSettings(role);
+        settingsText_ = settingsOf(role);
+        settingsPath_ = folder_ + "/settings.yaml";
+        if (settings == Settings::file) {
+            std::ofstream(settingsPath_) << settingsText_;
+        } else {
+            REQUIRE(::mkfifo(settingsPath_.c_str(), 0600) == 0);
+        }
         std::array<int, 2> ends{};
         REQUIRE(::pipe(ends.data()) == 0);
         pid_ = ::fork();
@@ -46,12 +57,14 @@
             ::dup2(ends[1], STDERR_FILENO);
             ::close(ends[0]);
             ::close(ends[1]);
-            ::setenv("MARLDALE_CONFIG", settings.c_str(), 1);
+            ::setenv("MARLDALE_CONFIG", settingsPath_.c_str(), 1);
             ::execl(MARLDALE_GATEWAY_PROGRAM, MARLDALE_GATEWAY_PROGRAM, role.c_str(), nullptr);
             ::_exit(127);
         }
         ::close(ends[1]);
         log_ = ends[0];
+        // Opened once the program reads them.
+        if (settings == Settings::heldBack) settingsPipe_ = ::open(settingsPath_.c_str(), O_WRONLY);
     }
     ~Running() {
         if (pid_ > 0) {
@@ -65,6 +78,11 @@
     Running& operator=(const Running&) = delete;
 
     void signal(int number) const { ::kill(pid_, number); }
+    void giveSettings() const {
+        const auto size = static_cast<ssize_t>(settingsText_.size());
+        REQUIRE(::write(settingsPipe_, settingsText_.data(), settingsText_.size()) == size);
+        ::close(settingsPipe_);
+    }
     // Reads on until a line tells of this event; the end of the log is a failure.
     void awaitEvent(const std::string& event) {
         while (text_.find("\"event\":\"" + event + "\"") == std::string::npos) REQUIRE(readMore());
@@ -81,11 +99,10 @@
     [[nodiscard]] const std::string& log() const { return text_; }
 
 private:
-    [[nodiscard]] std::string writeSettings(const std::string& role) const {
+    [[nodiscard]] std::string settingsOf(const std::string& role) const {
         const std::string port = std::to_string(freePort());
         const unsigned inside = 20000 + static_cast<unsigned>(::getpid()) % 20000;
-        std::string path = folder_ + "/settings.yaml";
-        std::ofstream out(path);
+        std::ostringstream out;
         out << "node_name: \"one\"\nip_address: \"127.0.0.1\"\nlisten_on:\n";
         if (role == "controller") {
             out << "  control: \"127.0.0.1:" << port << "\"\ndata_folder: \"" << folder_ << "\"\n";
@@ -96,7 +113,7 @@
             << "inside_ports: [" << inside << ", " << inside + 50 << "]\n"
             << "seed_nodes: [\"127.0.0.1:" << port << "\"]\nfirst_run: true\nbeat_every: \"1500ms\"\n"
             << "bounds:\n  grace: \"300ms\"\n";
-        return path;
+        return out.str();
     }
     bool readMore() {
         std::array<char, 4096> bytes{};
@@ -106,9 +123,9 @@
         return true;
     }
 
-    std::string folder_, text_;
+    std::string folder_, settingsPath_, settingsText_, text_;
     pid_t pid_ = 0;
-    int log_ = -1;
+    int log_ = -1, settingsPipe_ = -1;
 };
 
 // Every line of the log is whole, and the last one tells of the end.
@@ -147,4 +164,13 @@
     requireWholeLog(program.log());
 }
 
+TEST_CASE("SIGTERM before a role has started ends it with status 0 once it has") {
+    const std::string role = GENERATE("controller", "edge-proxy");
+    Running program(role, Running::Settings::heldBack);
+    program.signal(SIGTERM);  // it is waiting for its settings
+    program.giveSettings();
+    CHECK(program.awaitEnd() == 0);
+    requireWholeLog(program.log());
+}
+
 }  // namespace marldale::program
--- a/tools/soak_run/servers.py
+++ b/tools/soak_run/servers.py
@@ -5,10 +5,11 @@
 import random
 
 from .http import Closed, call, compose, read_message
-from .processes import BEAT_EVERY, DRAIN, SERVER, Fleet
+from .processes import BEAT_EVERY, CONTROL, DRAIN, SERVER, Fleet
 from .record import Record
 
-SERVE_ON = 3.0  # seconds beyond the drain, at most
+SERVE_ON = 10.0  # seconds beyond the drain, at most
+USUAL_WORK, LONG_WORK, LONG_SHARE = 0.12, (0.5, 3.5), 0.15  # seconds that a request takes
 
 
 class Server:
@@ -33,7 +34,7 @@
     async def _call(self, path: str, body: bytes) -> bool:
         for _ in range(4):
             controller = self.draw.choice(self.fleet.controllers)
-            answer = await call(f"{controller.address}:{self.fleet.port(2)}", "POST", path, body)
+            answer = await call(f"{controller.address}:{self.fleet.port(CONTROL)}", "POST", path, body)
             if answer is not None and answer.status // 100 == 2:
                 return True
         return False
@@ -83,8 +84,8 @@
             while True:
                 request = await read_message(reader)
                 writer.write(await self._answer(request.path, request.fields))
-        except (Closed, OSError):
-            pass
+        except (Closed, OSError, asyncio.CancelledError):
+            pass  # cancelled at the end of the soak
         finally:
             self.connections.discard(writer)
             writer.close()
@@ -97,7 +98,8 @@
             return compose("HTTP/1.1 421 Misdirected Request", {"X-Try-Id": name, "X-Not-Run": "1"})
         loop = asyncio.get_running_loop()
         run = self.record.run(name, self.name, loop.time())
-        await asyncio.sleep(min(self.draw.expovariate(1 / 0.15), 2.5))
+        is_long = self.draw.random() < LONG_SHARE
+        await asyncio.sleep(self.draw.uniform(*LONG_WORK) if is_long else self.draw.expovariate(1 / USUAL_WORK))
         run.ended = loop.time()
         extra = {"Connection": "close"} if self.emptying or self.leaving else {}
         return compose("HTTP/1.1 200 OK", {"X-Try-Id": name, "X-Server-Seal": f"s.{name}", **extra}, b"x" * 300)
