--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; CMake does the work.
-.PHONY: packages build test hard-days demo demo-gateway measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins measure-capacity simulate emulate-live demo-replay fuzz sanitize tsan lint lint-all format run clean
+.PHONY: packages build test hard-days demo demo-gateway measure-grpc measure-replay measure-learning measure-emulator measure-proxy measure-plugins measure-capacity simulate soak emulate-live demo-replay fuzz sanitize tsan lint lint-all format run clean
 
 BUILD := cmake --build
 
@@ -36,6 +36,14 @@
 	$(BUILD) build/demo -j4 --target demo_gateway
 	build/demo/bench/demo_gateway build/demo/gateway.svg
 
+# Real processes of the gateway under seeded troubles: make soak SEED=1 SEEDS=50; LARGE=1 with as many as a machine bears.
+SEEDS := 50
+LARGE :=
+soak: packages
+	cmake -S . -B target -DCMAKE_BUILD_TYPE=Release -DMARLDALE_GATEWAY=ONLY
+	$(BUILD) target -j4 --target marldale_gateway
+	tools/soak --seed $(SEED) --seeds $(SEEDS) --keep $(if $(LARGE),--proxies 150 --controllers 7 --servers 60 --clients 200 --seconds 60)
+
 # What a planner that restarts gains from what was known, and SWIM's figures.
 measure-learning: packages
 	cmake -B build/demo -DCMAKE_BUILD_TYPE=Release -DMARLDALE_BENCH=ON
