Registry: a word that a server empties counts also with the newest call count

Cause: a departure that was heard late keeps the newer beat's call count; passed on, it was taken for a repeat of that beat. Change: heard() looks at it before it drops a repeat.

--- a/src/gateway/registry/registry.cpp
+++ b/src/gateway/registry/registry.cpp
@@ -28,6 +28,7 @@
     } else if (said.call_count() < known->second.said.call_count()) {
         return heardLate(known->second, said);
     } else if (said.call_count() == known->second.said.call_count()) {
+        if (said.emptying() && !known->second.said.emptying()) return heardLate(known->second, said);
         const bool later = at > known->second.heardAt;
         known->second.heardAt = std::max(known->second.heardAt, at);
         return later ? News::same : News::old;
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -175,6 +175,16 @@
         registry.heard(9 * kS, beat("i", 5));
         CHECK_FALSE(usable());
     }
+    SECTION("a late word that it empties, passed on with the newest call count") {
+        auto emptying = beat("i", 3);
+        emptying.set_emptying(true);
+        CHECK(registry.heard(2 * kS, emptying) == Registry::News::urgent);
+        Registry other({});
+        other.heard(kS, beat("i", 4));
+        const auto word = registry.wordOf(registry.servers().at("i"), 2 * kS);
+        CHECK(other.heard(2 * kS, word) == Registry::News::urgent);
+        CHECK_FALSE(other.servers().at("i").usable());
+    }
     SECTION("a later beat that says ready") {
         auto emptying = beat("i", 6);
         emptying.set_emptying(true);
