Edge proxy: an idle connection closes only when nothing was read; the end looks again at who came

Change: closeIfUnused cancels the pending read and closes only if it brought nothing; the end is decided anew when it comes, stops accepting, lets handlers that are due run, and begins no attempt.

--- a/src/gateway/edge_proxy/attempts.cpp
+++ b/src/gateway/edge_proxy/attempts.cpp
@@ -332,7 +332,7 @@
     }
     request->stage = Stage::picking;
     if (step != NextStep::again) return finish(request, step);
-    if (termination_.isOver(now)) return finish(request, request->retry.finalStep(now));
+    if (ending_ || termination_.isOver(now)) return finish(request, request->retry.finalStep(now));
     // What could only end as a failure now may wait for room once more. A refusal comes early or not at all.
     if (request->retry.mayHaveRun()) request->waitUntil = now + request->queueTime;
     if (request->retry.isRetry() && !request->hasRetryToken) {
--- a/src/gateway/edge_proxy/forwarder_impl.h
+++ b/src/gateway/edge_proxy/forwarder_impl.h
@@ -102,7 +102,9 @@
 
     // The end of the process (termination.cpp).
     void onEndTimer(Micros now);
-    void endProcess();
+    void beginEnd(Micros now);
+    void endProcess(Micros now);
+    [[nodiscard]] bool nothingLeft() const;
     void closeIdleClients();
     void finishUnsent(Micros now);
     void giveUpSent(Micros now);
@@ -126,7 +128,9 @@
     bool wakePosted_ = false;
     std::int64_t heldBodies_ = 0, heldAnswers_ = 0;  // bytes
     upstream::Draw draw_;
-    bool wasReady_ = false, endNow_ = false, ended_ = false, shutDown_ = false;
+    bool wasReady_ = false, shutDown_ = false;
+    // The end: idle clients were closed; nothing was left; nobody new comes; it is over.
+    bool idleClosed_ = false, endNow_ = false, ending_ = false, ended_ = false;
     TerminationSchedule termination_;
     unsigned refusedLate_ = 0;  // requests that came too late to be finished before the end
     std::function<void()> done_;
--- a/src/gateway/edge_proxy/request_forwarder.cpp
+++ b/src/gateway/edge_proxy/request_forwarder.cpp
@@ -67,6 +67,7 @@
 }
 
 void RequestForwarder::Impl::accept(std::unique_ptr<http_server::ByteStream> stream) {
+    if (ending_) return stream->close();
     const auto client = std::make_shared<ClientConnection>(std::move(stream), *this, timers_);
     clients_.insert(client);
     client->start();
@@ -135,7 +136,7 @@
     request->queueTime = static_cast<Micros>(static_cast<double>(route->target) * kQueueShare) - kQueueMargin;
     request->waitUntil = incoming.began + request->queueTime;
     client->exchange = request;
-    if (!termination_.takes(now, request->retry.deadline())) {
+    if (ending_ || !termination_.takes(now, request->retry.deadline())) {
         ++refusedLate_;
         return finish(request, NextStep::refuse);
     }
--- a/src/gateway/edge_proxy/termination.cpp
+++ b/src/gateway/edge_proxy/termination.cpp
@@ -1,6 +1,7 @@
 // The end of the process: it serves on until nobody sends to it any more, finishes what is under way, and
 // ends before its grace does.
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "gateway/edge_proxy/forwarder_impl.h"
@@ -13,6 +14,7 @@
 using http_server::ClientConnection;
 
 constexpr Micros kFlushCheckEvery = 20000;
+constexpr Micros kLastTurn = 20000;  // for handlers whose turn has come already
 constexpr Micros kMicrosPerMs = 1000;
 constexpr unsigned kLoggedMost = 5;  // unfinished requests, one line each
 
@@ -35,10 +37,12 @@
 }
 
 void RequestForwarder::Impl::onEndTimer(Micros now) {
-    if (ended_) return;
-    if (endNow_ || now >= termination_.lastMoment()) return endProcess();
+    if (ending_) return endProcess(now);
+    // A client may have come since the last one went.
+    if (now >= termination_.lastMoment() || (endNow_ && nothingLeft())) return beginEnd(now);
+    endNow_ = false;
     if (now < termination_.endAt()) {
-        closeIdleClients();
+        if (!std::exchange(idleClosed_, true)) closeIdleClients();
         endTimer_.wake(termination_.endAt());
     } else {
         // What is on its way to a client, or nearly, still has a moment.
@@ -48,21 +52,28 @@
     endIfIdle();
 }
 
-void RequestForwarder::Impl::endProcess() {
+// Nobody new comes; requests that were read and whose turn has not come yet are still refused.
+void RequestForwarder::Impl::beginEnd(Micros now) {
+    ending_ = true;
+    if (front_) front_->close();
+    closeIdleClients();
+    endTimer_.wake(now + kLastTurn);
+}
+
+void RequestForwarder::Impl::endProcess(Micros now) {
+    if (ended_) return;
     ended_ = true;
     logUnfinished();
-    const Micros now = timers_.now();
     finishUnsent(now);
     giveUpSent(now);
     if (done_) done_();
 }
 
+bool RequestForwarder::Impl::nothingLeft() const { return clients_.empty() && !pools_.anyBusy(); }
+
 void RequestForwarder::Impl::closeIdleClients() {
-    std::vector<std::shared_ptr<ClientConnection>> idle;
-    for (const auto& client : clients_) {
-        if (client->idle()) idle.push_back(client);
-    }
-    for (const auto& client : idle) client->close();
+    const std::vector<std::shared_ptr<ClientConnection>> clients(clients_.begin(), clients_.end());
+    for (const auto& client : clients) client->closeIfUnused();
 }
 
 // Requests that no server has now get their final answer rather than a cut: if nothing was sent, a refusal,
@@ -124,11 +135,10 @@
                                      {"unwritten", client.pending()}});
 }
 
+// Busy connections to servers are of clients that have gone, whose requests must not run twice.
 void RequestForwarder::Impl::endIfIdle() {
-    if (!termination_.begun() || ended_ || !clients_.empty()) return;
+    if (!termination_.begun() || ending_ || !nothingLeft()) return;
     if (timers_.now() < termination_.serveUntil()) return;
-    // Those whose clients have gone, and that must not run twice, are still at work.
-    if (pools_.anyBusy()) return;
     endNow_ = true;
     endTimer_.wake(0);
 }
--- a/src/gateway/http_server/asio_event_loop.cpp
+++ b/src/gateway/http_server/asio_event_loop.cpp
@@ -53,6 +53,11 @@
                                 });
     }
 
+    void cancel() override {
+        error_code ignored;
+        socket_.cancel(ignored);
+    }
+
     void awaitWritable(HandlerPtr handler) override {
         socket_.async_wait(Socket::wait_write, [handler = std::move(handler)](const error_code& error) {
             handler->onWritable(error);
--- a/src/gateway/http_server/client_connection.cpp
+++ b/src/gateway/http_server/client_connection.cpp
@@ -62,6 +62,14 @@
     handler_.onClosed(*this);
 }
 
+void ClientConnection::closeIfUnused() {
+    if (!idle()) return;
+    if (!reading_ || writing_) return close();
+    closing_ = true;
+    sleep();
+    stream_->cancel();
+}
+
 void ClientConnection::release() {
     if (held_ != 0) handler_.hold(-held_);
     held_ = 0;
@@ -97,6 +105,7 @@
 void ClientConnection::onRead(const boost::system::error_code& error, std::size_t bytes) {
     reading_ = false;
     if (state_ == State::closed) return;
+    closing_ = false;  // bytes that have come are served
     if (error) {
         peerDone_ = true;
         // What is being written may still be read there if only its sending side is shut.
@@ -347,7 +356,7 @@
     switch (state_) {
         case State::reading:
             if (reader_.state() == RequestReader::State::idle) {
-                close();
+                closeIfUnused();
             } else {
                 reader_.request().keepAlive = false;
                 unread_ = true;
--- a/src/gateway/http_server/client_connection.h
+++ b/src/gateway/http_server/client_connection.h
@@ -62,9 +62,8 @@
     [[nodiscard]] std::size_t pending() const { return outNow_.size() - outFrom_ + outNext_.size(); }
     [[nodiscard]] bool http10() { return reader_.request().http10; }
 
-    [[nodiscard]] bool idle() const {
-        return state_ == State::reading && reader_.state() == RequestReader::State::idle;
-    }
+    // Closes it unless a request has begun to come, also one that has been read and not looked at yet.
+    void closeIfUnused();
     [[nodiscard]] bool isClosed() const { return state_ == State::closed; }
     [[nodiscard]] Micros openedAt() const { return openedAt_; }
     void close();
@@ -85,6 +84,9 @@
     void appendEnd(std::string& head);
     void linger();
     void release();
+    [[nodiscard]] bool idle() const {
+        return state_ == State::reading && reader_.state() == RequestReader::State::idle && inFrom_ == inTo_;
+    }
 
     std::unique_ptr<ByteStream> stream_;
     Timers& timers_;
@@ -95,6 +97,7 @@
     std::string in_;  // its size is the room for reading
     std::size_t inFrom_ = 0, inTo_ = 0;
     bool reading_ = false, peerDone_ = false;
+    bool closing_ = false;          // once the pending read has ended without a byte
     std::string outNow_, outNext_;  // what is being written, and what follows
     std::size_t outFrom_ = 0;
     bool writing_ = false;
--- a/src/gateway/http_server/event_loop.h
+++ b/src/gateway/http_server/event_loop.h
@@ -33,6 +33,9 @@
     // Begins to connect. False: no socket can be had.
     virtual bool connect(const boost::asio::ip::tcp::endpoint& endpoint, HandlerPtr handler) = 0;
     virtual void readSome(boost::asio::mutable_buffer room, HandlerPtr handler) = 0;
+    // Ends the pending operations: their handlers are called with operation_aborted, or with what had come of
+    // them before. Bytes may have been read although their handler hasn't been called yet.
+    virtual void cancel() = 0;
     virtual void awaitWritable(HandlerPtr handler) = 0;
     // Writes what fits without waiting and returns how much that was; 0 without an error: nothing fits now.
     // The only way to write: a caller who got 0 every time knows that not a byte has left.
--- a/tests/gateway/ending_proxy.cpp
+++ b/tests/gateway/ending_proxy.cpp
@@ -13,6 +13,7 @@
 EndingProxy::EndingProxy(EndingPlan plan) : plan_(plan), draw_(plan.seed) {}
 
 void EndingProxy::play() {
+    loop_.readDelay = plan_.readDelay;
     startServers();
     for (unsigned k = 0; k < plan_.keptClients; ++k) openClient(true);
     openClients();
--- a/tests/gateway/ending_proxy.h
+++ b/tests/gateway/ending_proxy.h
@@ -21,6 +21,7 @@
     Micros newClientEvery = 40 * kMs;
     unsigned keptClients = 6;
     unsigned servers = 4;
+    Micros readDelay = 0;       // of the proxy's loop, from the socket to the handler
     bool secondSignal = false;  // SIGTERM again, a second later
 };
 
--- a/tests/gateway/ending_proxy_test.cpp
+++ b/tests/gateway/ending_proxy_test.cpp
@@ -41,6 +41,37 @@
     CHECK(refused > 0);
 }
 
+TEST_CASE("A request that was read while its idle connection is closed is answered", "[ending_proxy]") {
+    EndingPlan plan;
+    plan.readDelay = 8 * kMs;
+    plan.newClientEvery = 3 * kMs;
+    plan.slowestAnswer = 30 * kMs;
+    for (plan.seed = 1; plan.seed <= kHistories; ++plan.seed) {
+        EndingProxy proxy(plan);
+        proxy.play();
+        INFO("seed " << plan.seed);
+        INFO(joined(proxy.unanswered()));
+        REQUIRE(proxy.unanswered().empty());
+    }
+}
+
+TEST_CASE("A request that comes just as nothing is left to do is answered", "[ending_proxy]") {
+    EndingPlan plan;
+    plan.timeLeft = 400 * kMs;  // short: it is taken after the platform has stopped sending
+    plan.keptClients = 0;
+    plan.slowestAnswer = 40 * kMs;
+    plan.readDelay = 8 * kMs;
+    plan.newClientEvery = GENERATE(21, 33) * kMs;
+    for (plan.seed = 1; plan.seed <= kHistories; ++plan.seed) {
+        EndingProxy proxy(plan);
+        proxy.play();
+        INFO("seed " << plan.seed);
+        INFO(joined(proxy.unanswered()));
+        REQUIRE(proxy.unanswered().empty());
+        REQUIRE(proxy.endedAt != 0);
+    }
+}
+
 TEST_CASE("An ending proxy takes what it can finish, and serves all until the platform has stopped sending",
           "[ending_proxy]") {
     using marldale::edge_proxy::TerminationSchedule;
--- a/tools/soak_run/troubles.py
+++ b/tools/soak_run/troubles.py
@@ -66,6 +66,8 @@
         await self.fleet.start(proxy)
         if self.draw.random() < 0.1:  # at once again, mostly before its first configuration
             await asyncio.sleep(self.draw.uniform(0, 0.05))
+            if proxy.terminated_at is not None:
+                return  # another roll has it
             self.fleet.signal(proxy, self.draw.choice((signal.SIGHUP, signal.SIGTERM)), loop.time())
             if proxy.terminated_at is not None:
                 await self._ended_in_order(proxy)
