--- a/tests/proxy/gateway_test.cpp
+++ b/tests/proxy/gateway_test.cpp
@@ -503,10 +503,13 @@
     settings.classes[1].upgrade = "websocket";
     start(settings);
     ScriptedBox box([](Wire& wire, int) {
-        const std::string head = wire.head();
-        if (head.find("Upgrade: websocket\r\nConnection: Upgrade\r\n") == std::string::npos) {
+        std::string head = wire.head();
+        // Its connection stays: the next plain request may come on it.
+        while (head.find("Upgrade: websocket\r\nConnection: Upgrade\r\n") == std::string::npos) {
+            if (head.empty()) return;
             EXPECT_EQ(head.find("Upgrade"), std::string::npos) << "what is not passed on is not named";
-            return wire.say(ok("plain"));
+            wire.say(ok("plain"));
+            head = wire.head();
         }
         wire.say("HTTP/1.1 101 Go\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nX-A: b\r\n\r\nfirst");
         std::string all;
