--- a/tests/gateway/simulated_network.h
+++ b/tests/gateway/simulated_network.h
@@ -111,7 +111,8 @@
     Micros now() override { return now_; }
     void post(std::function<void()> work) override { posted_.push_back(std::move(work)); }
     void setAlarm(Micros when, http_server::AlarmHandler* handler) override {
-        alarm_ = readDelay == 0 ? when : std::max(when, now_) + readDelay;  // as late as its reads
+        const bool isLate = readDelay != 0 && handler != nullptr;
+        alarm_ = isLate ? std::max(when, now_) + readDelay : when;  // as late as its reads
         alarmHandler_ = handler;
     }
     std::unique_ptr<ByteStream> newStream() override;
