--- a/tools/soak_run/processes.py
+++ b/tools/soak_run/processes.py
@@ -1,6 +1,7 @@
 """The gateway's processes as children, each on an address of loopback of its own. Only what was started here is signalled."""
 
 import asyncio
+import os
 import shutil
 import signal
 import tempfile
@@ -42,9 +43,12 @@
         return self.child is not None and self.child.returncode is None
 
 
-def _governs_signals(pid: int) -> bool:
-    """Whether the process blocks or catches SIGTERM."""
+def _governs_signals(pid: int, program: Path) -> bool:
+    """Whether the process runs the program (before, it is a copy of this one, with its signals blocked) and blocks or
+    catches SIGTERM."""
     try:
+        if not os.path.samefile(f"/proc/{pid}/exe", program):
+            return False
         status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     except OSError:
         return False
@@ -52,11 +56,11 @@
     return any(mask >> (signal.SIGTERM - 1) & 1 for mask in masks)
 
 
-async def _begun(child: asyncio.subprocess.Process) -> None:
+async def _begun(child: asyncio.subprocess.Process, program: Path) -> None:
     """Waits until the program's own code has taken over its signals: until then no program can do anything about one."""
     loop = asyncio.get_running_loop()
     until = loop.time() + GRACE
-    while child.returncode is None and loop.time() < until and not _governs_signals(child.pid):
+    while child.returncode is None and loop.time() < until and not _governs_signals(child.pid, program):
         await asyncio.sleep(0.001)
 
 
@@ -107,7 +111,7 @@
         with open(self.folder / f"{process.name}.log", "ab") as log:
             child = await asyncio.create_subprocess_exec(
                 str(self.program), process.role, env={"MARLDALE_CONFIG": str(path)}, stderr=log, stdout=log)
-        await _begun(child)
+        await _begun(child, self.program)
         process.child = child
         process.terminated_at = None
         process.killed = False
