--- a/tests/gateway/ending_proxy_test.cpp
+++ b/tests/gateway/ending_proxy_test.cpp
@@ -14,6 +14,18 @@
     return out;
 }
 
+// Each history ends, and each request that the proxy read has an answer.
+void requireAllAnswered(EndingPlan plan) {
+    for (plan.seed = 1; plan.seed <= kHistories; ++plan.seed) {
+        EndingProxy proxy(plan);
+        proxy.play();
+        INFO("seed " << plan.seed);
+        INFO(joined(proxy.unanswered()));
+        REQUIRE(proxy.unanswered().empty());
+        REQUIRE(proxy.endedAt != 0);
+    }
+}
+
 }  // namespace
 
 TEST_CASE("Each request that is read after SIGTERM is answered or refused", "[ending_proxy]") {
@@ -46,13 +58,7 @@
     plan.readDelay = 8 * kMs;
     plan.newClientEvery = 3 * kMs;
     plan.slowestAnswer = 30 * kMs;
-    for (plan.seed = 1; plan.seed <= kHistories; ++plan.seed) {
-        EndingProxy proxy(plan);
-        proxy.play();
-        INFO("seed " << plan.seed);
-        INFO(joined(proxy.unanswered()));
-        REQUIRE(proxy.unanswered().empty());
-    }
+    requireAllAnswered(plan);
 }
 
 TEST_CASE("A request that comes just as nothing is left to do is answered", "[ending_proxy]") {
@@ -62,14 +68,7 @@
     plan.slowestAnswer = 40 * kMs;
     plan.readDelay = 8 * kMs;
     plan.newClientEvery = GENERATE(21, 33) * kMs;
-    for (plan.seed = 1; plan.seed <= kHistories; ++plan.seed) {
-        EndingProxy proxy(plan);
-        proxy.play();
-        INFO("seed " << plan.seed);
-        INFO(joined(proxy.unanswered()));
-        REQUIRE(proxy.unanswered().empty());
-        REQUIRE(proxy.endedAt != 0);
-    }
+    requireAllAnswered(plan);
 }
 
 TEST_CASE("An ending proxy takes what it can finish, and serves all until the platform has stopped sending",
