--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -264,19 +264,20 @@
         self.fleet, self.draw = fleet, draw or random.Random(7)
         self.version = 0  # the newest acknowledged
 
-    async def order(self, method, path, body=b"", within=20.0, final=(200, 400, 409, 412, 413, 422), what=""):
-        """Until a clear answer or the time is over. The answer, or None."""
+    async def order(self, method, path, body=b"", within=20.0, final=(200, 400, 409, 412, 413, 422), what="", drawn=False):
+        """Until a clear answer or the time is over. The answer, or None. The next controller is the next of the list,
+        or, with `drawn`, drawn from the others; the pause grows."""
         until = time.monotonic() + within
         pause, k = 0.05, self.draw.randrange(3)
         while time.monotonic() < until:
             controller = self.fleet.controllers[k % len(self.fleet.controllers)]
-            k += 1
+            k += self.draw.randint(1, len(self.fleet.controllers) - 1) if drawn else 1
             answer = await call(f"{controller.address}:{self.fleet.control}", method, path, body)
             self.fleet.record.say(f"operator: {what or path} to {controller.name}: "
                                   + ("no answer" if answer is None else str(answer.status)))
             if answer is not None and answer.status in final:
                 return answer
-            await asyncio.sleep(pause)
+            await asyncio.sleep(pause * self.draw.uniform(0.6, 1.4) if drawn else pause)
             pause = min(0.8, pause * 1.5)
         return None
 
