--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -48,8 +48,9 @@
         try:
             for port in range(base, base + count):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    with socket.socket(socket.AF_INET, kind) as probe:
-                        probe.bind(("0.0.0.0", port))
+                    for address in ("127.21.0.1", "127.22.0.1", "127.23.0.1"):  # controllers, edge proxies, servers
+                        with socket.socket(socket.AF_INET, kind) as probe:
+                            probe.bind((address, port))
             return base
         except OSError:
             continue
