--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -45,9 +45,10 @@
 endfunction()
 
 gateway_package(log PkgConfig::LOG4CXX)
+gateway_package(json absl::status absl::strings)
 gateway_package(settings PkgConfig::YAML absl::status absl::statusor absl::strings)
 gateway_package(raft PkgConfig::LMDB PkgConfig::XXHASH absl::status absl::statusor Threads::Threads)
-gateway_package(configuration gateway_settings PkgConfig::XXHASH absl::status absl::statusor)
+gateway_package(configuration gateway_json gateway_settings PkgConfig::XXHASH absl::status absl::statusor)
 gateway_package(registry absl::status)
 gateway_package(gossip)
 gateway_package(distribution gateway_configuration marldale_policy PkgConfig::XXHASH)
@@ -56,7 +57,7 @@
 gateway_package(forwarding gateway_upstream marldale_attempts absl::status)
 gateway_package(http_server gateway_upstream Boost::headers absl::status)
 gateway_package(edge_proxy gateway_settings gateway_log PkgConfig::XXHASH gateway_http_server gateway_forwarding gateway_upstream gateway_transport gateway_gossip)
-gateway_package(controller gateway_settings gateway_log gateway_raft gateway_configuration gateway_registry gateway_distribution gateway_transport gateway_gossip)
+gateway_package(controller gateway_json gateway_settings gateway_log gateway_raft gateway_configuration gateway_registry gateway_distribution gateway_transport gateway_gossip)
 
 file(GLOB program_sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/gateway/program/*.cpp)
 list(FILTER program_sources EXCLUDE REGEX "main\\.cpp$")
@@ -91,7 +92,8 @@
   target_link_libraries(gateway_test PRIVATE gateway_program gateway_simulation Catch2::Catch2)
   # How the program ends on a signal is tried on the program itself.
   add_dependencies(gateway_test marldale_gateway)
-  set_source_files_properties(${PROJECT_SOURCE_DIR}/tests/gateway/program_end_test.cpp PROPERTIES
+  set_source_files_properties(${PROJECT_SOURCE_DIR}/tests/gateway/program_end_test.cpp
+    ${PROJECT_SOURCE_DIR}/tests/gateway/untrusted_input_test.cpp PROPERTIES
     COMPILE_DEFINITIONS "MARLDALE_GATEWAY_PROGRAM=\"$<TARGET_FILE:marldale_gateway>\"")
   # Under a sanitizer, which is slow, a tenth of the replicas' histories is played, and by code that is optimised a little.
   if(MARLDALE_SANITIZE OR MARLDALE_TSAN)
--- a/src/gateway/configuration/configuration.cpp
+++ b/src/gateway/configuration/configuration.cpp
@@ -1,7 +1,6 @@
 #include "gateway/configuration/configuration.h"
 
 #include <rapidjson/document.h>
-#include <rapidjson/error/en.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -12,6 +11,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "gateway/configuration/schema.h"
+#include "gateway/json/json.h"
 #include "gateway/settings/settings.h"
 
 namespace marldale::configuration {
@@ -189,14 +189,10 @@
 
 }  // namespace
 
-absl::StatusOr<Configuration> parseConfiguration(std::string_view json) {
-    std::string text(json);  // parsed in place, which saves copying the strings
+absl::StatusOr<Configuration> parseConfiguration(std::string_view text) {
+    std::string buffer;
     rapidjson::Document document;
-    document.ParseInsitu<rapidjson::kParseValidateEncodingFlag>(text.data());
-    if (document.HasParseError()) {
-        return absl::InvalidArgumentError(absl::StrCat(
-            "byte ", document.GetErrorOffset(), ": ", rapidjson::GetParseError_En(document.GetParseError())));
-    }
+    if (auto s = json::parse(text, buffer, document); !s.ok()) return s;
     if (!matchesSchema(document)) return absl::InvalidArgumentError(schemaViolation(document));
     Configuration out;
     out.version = document["version"].GetUint64();
--- a/src/gateway/configuration/configuration.h
+++ b/src/gateway/configuration/configuration.h
@@ -27,6 +27,6 @@
 /// 128-bit hash of the text, so that a request, the state machine and a restored snapshot parse it only once.
 [[nodiscard]] absl::StatusOr<Configuration> parseConfigurationCached(std::string_view json);
 /// Like `parseConfigurationCached`, without the cache.
-[[nodiscard]] absl::StatusOr<Configuration> parseConfiguration(std::string_view json);
+[[nodiscard]] absl::StatusOr<Configuration> parseConfiguration(std::string_view text);
 
 }  // namespace marldale::configuration
--- a/src/gateway/controller/calls_servers.cpp
+++ b/src/gateway/controller/calls_servers.cpp
@@ -1,10 +1,10 @@
 // The calls of servers: heartbeats and sign-offs.
-#include <rapidjson/document.h>
 #include <rapidjson/schema.h>
 #include <rapidjson/stringbuffer.h>
 
 #include "gateway/controller/calls.h"
 #include "gateway/controller/controller.h"
+#include "gateway/json/json.h"
 
 namespace marldale::controller {
 namespace {
@@ -29,11 +29,12 @@
         document.Parse(kHeartbeatSchema);
         return rapidjson::SchemaDocument(document);
     }();
-    rapidjson::Document json;
-    json.Parse(request.body.data(), request.body.size());
-    if (json.HasParseError()) return sendReply(problemReply(400, "no JSON"));
+    std::string buffer;
+    rapidjson::Document heartbeat;
+    if (auto s = json::parse(request.body, buffer, heartbeat); !s.ok())
+        return sendReply(problemReply(400, std::string(s.message())));
     rapidjson::SchemaValidator validator(schema);
-    if (!json.Accept(validator)) {
+    if (!heartbeat.Accept(validator)) {
         rapidjson::StringBuffer pointer;
         validator.GetInvalidDocumentPointer().StringifyUriFragment(pointer);
         return sendReply(problemReply(400, std::string(pointer.GetString()) + " breaks the rule '" +
@@ -41,20 +42,20 @@
     }
     proto::Server server;
     server.set_id(request.argument);
-    server.set_service(json["service"].GetString());
-    server.set_address(json["address"].GetString());
-    server.set_zone(json["zone"].GetString());
-    if (json.HasMember("version")) server.set_version(json["version"].GetString());
-    if (json.HasMember("free_places")) server.set_free_places(json["free_places"].GetUint());
-    server.set_emptying(json.HasMember("server_state") &&
-                        std::string(json["server_state"].GetString()) == "emptying");
-    if (json.HasMember("cold_left")) {
-        const auto cold = settings::readTime(json["cold_left"].GetString());
+    server.set_service(heartbeat["service"].GetString());
+    server.set_address(heartbeat["address"].GetString());
+    server.set_zone(heartbeat["zone"].GetString());
+    if (heartbeat.HasMember("version")) server.set_version(heartbeat["version"].GetString());
+    if (heartbeat.HasMember("free_places")) server.set_free_places(heartbeat["free_places"].GetUint());
+    server.set_emptying(heartbeat.HasMember("server_state") &&
+                        std::string(heartbeat["server_state"].GetString()) == "emptying");
+    if (heartbeat.HasMember("cold_left")) {
+        const auto cold = settings::readTime(heartbeat["cold_left"].GetString());
         if (!cold.ok())
             return sendReply(problemReply(400, "#/cold_left: " + std::string(cold.status().message())));
         server.set_cold_left(*cold);
     }
-    if (json.HasMember("call_count")) server.set_call_count(json["call_count"].GetUint64());
+    if (heartbeat.HasMember("call_count")) server.set_call_count(heartbeat["call_count"].GetUint64());
     controller.beat(std::move(server), std::move(sendReply));
 }
 
--- a/tests/gateway/configuration_store_test.cpp
+++ b/tests/gateway/configuration_store_test.cpp
@@ -71,6 +71,26 @@
         REQUIRE_FALSE(parseConfigurationCached(complete.substr(0, length)).ok());
 }
 
+// Guards against a parser whose stack grows with the text, in requests, in the log and in snapshots.
+TEST_CASE("A configuration of any nesting depth is judged without a deep stack", "[configuration]") {
+    constexpr std::size_t kManyLevels = 1000000;
+    const std::string complete = configuration(7, 0);
+    const std::string open =
+        complete.substr(0, complete.size() - 1) + R"(,"note":)" + std::string(kManyLevels, '[');
+    const std::string closed = open + std::string(kManyLevels, ']') + "}";
+    ConfigurationStore store;
+    CHECK(store.apply(1, replaceChange(open)) == Verdict::invalid);
+    CHECK(store.judge(replaceChange(closed)) == Verdict::taken);
+    CHECK_FALSE(parseConfiguration(R"({"version":7,"note":)" + std::string(kManyLevels, '[') +
+                                   std::string(kManyLevels, ']') + "}")
+                    .ok());
+    CHECK(store.apply(2, replaceChange(closed)) == Verdict::taken);
+    ConfigurationStore restored;
+    REQUIRE(restored.restore(store.snapshot()).ok());
+    CHECK(restored.json() == closed);
+    CHECK(restored.configuration().version == 7);
+}
+
 TEST_CASE("Only one of two changes on the same version is accepted, and it may be sent again",
           "[configuration]") {
     ConfigurationStore store;
