--- a/src/gateway/controller/calls_operator.cpp
+++ b/src/gateway/controller/calls_operator.cpp
@@ -8,20 +8,20 @@
 namespace {
 
 void replaceSettings(Controller& controller, const Request& request, ReplyCallback sendReply) {
-    // Without quorum contact nothing is rejected, not even an invalid body: the order queue answers that the
-    // controller is unavailable.
-    if (!controller.inQuorumContact())
-        return controller.change(configuration::replaceChange(request.body), "configuration",
-                                 std::move(sendReply));
     const auto read = configuration::parseConfigurationCached(request.body);
-    if (!read.ok()) return sendReply(problemReply(400, std::string(read.status().message())));
+    if (!read.ok()) {
+        return controller.refuse(problemReply(400, std::string(read.status().message())),
+                                 "invalid configuration", std::move(sendReply));
+    }
+    std::string description = absl::StrCat("version ", read->version, " on ", read->builtOn);
     std::uint64_t builtOn = 0;
     if (!request.builtOn.empty() &&
         (!absl::SimpleAtoi(request.builtOn, &builtOn) || builtOn != read->builtOn)) {
-        return sendReply(problemReply(412, "X-Built-On names another version than built_on"));
+        return controller.refuse(problemReply(412, "X-Built-On names another version than built_on"),
+                                 std::move(description), std::move(sendReply));
     }
-    controller.change(configuration::replaceChange(request.body),
-                      absl::StrCat("version ", read->version, " on ", read->builtOn), std::move(sendReply));
+    controller.change(configuration::replaceChange(request.body), std::move(description),
+                      std::move(sendReply));
 }
 
 void readSettings(Controller& controller, const Request& /*request*/, ReplyCallback sendReply) {
--- a/src/gateway/controller/controller.h
+++ b/src/gateway/controller/controller.h
@@ -62,9 +62,12 @@
     /// Submits an order to the log; answered once its verdict is known. `description` names the order in the
     /// log output.
     void change(std::string change, std::string description, ReplyCallback sendReply);
+    /// Refuses an order that is invalid on any version: gives `refusal` in contact with a majority of the
+    /// controllers, otherwise 503 like any other order. The order never enters the log.
+    void refuse(Reply refusal, std::string description, ReplyCallback sendReply);
     /// Answers with the newest configuration, by a linearizable read.
     void read(ReplyCallback sendReply);
-    /// Whether a majority was heard from recently. Without it no order is checked, not even an invalid one.
+    /// Whether a majority was heard from recently. Without it no order is confirmed or refused.
     [[nodiscard]] bool inQuorumContact() const;
     /// The body of the status reply, in JSON.
     [[nodiscard]] std::string status() const;
@@ -93,7 +96,8 @@
     };
     struct PendingCall {  // a call in the order queue
         ReplyCallback sendReply;
-        std::string description;  // for the log output
+        std::string description;                      // for the log output
+        std::optional<Reply> refusal = std::nullopt;  // of an order that is known to be invalid
     };
 
     struct Departure {
--- a/src/gateway/controller/order_queue.cpp
+++ b/src/gateway/controller/order_queue.cpp
@@ -52,11 +52,15 @@
 }
 
 void OrderQueue::submit(Micros now, OrderId id, std::string change) {
-    dispatch(now, {{id, std::move(change)}, now + limits_.leaderWait});
+    dispatch(now, {{id, CallKind::order, std::move(change)}, now + limits_.leaderWait});
+}
+
+void OrderQueue::submitInvalid(Micros now, OrderId id) {
+    dispatch(now, {{id, CallKind::invalidOrder, {}}, now + limits_.leaderWait});
 }
 
 void OrderQueue::read(Micros now, OrderId id) {
-    dispatch(now, {{id, std::nullopt}, now + limits_.leaderWait});
+    dispatch(now, {{id, CallKind::read, {}}, now + limits_.leaderWait});
 }
 
 void OrderQueue::dispatch(Micros now, WaitingCall waiting) {
@@ -65,6 +69,10 @@
     const auto leader = log_.leader();
     const bool hasContact = inContact(now);
     const bool neverInContact = log_.quorumContactAge(now) < 0;
+    if (hasContact && waiting.call.kind == CallKind::invalidOrder) {
+        replies_.push_back({id, OrderOutcome::invalid, UnavailableReason::none, {}});
+        return;
+    }
     if (log_.leads()) {
         if (hasContact || faults_.answersWithoutContact) return start(now, std::move(waiting.call));
     } else if (leader && (hasContact || neverInContact)) {
@@ -82,7 +90,7 @@
 }
 
 void OrderQueue::start(Micros now, Call call) {
-    if (!call.change) {
+    if (call.kind == CallKind::read) {
         if (faults_.answersWithoutContact) {
             replies_.push_back({call.id, OrderOutcome::readConfirmed, UnavailableReason::none, {}});
             return;
@@ -90,7 +98,7 @@
         pendingReads_[++lastTicket_] = {call.id, now + limits_.read};
         return log_.read(now, lastTicket_);
     }
-    const auto index = log_.propose(now, std::move(*call.change));
+    const auto index = log_.propose(now, std::move(call.change));
     if (!index) return replyUnavailable(call.id, UnavailableReason::logRefused);
     if (faults_.confirmsOnPropose) {
         replies_.push_back({call.id, OrderOutcome::confirmed, UnavailableReason::none, {}});
--- a/src/gateway/controller/order_queue.h
+++ b/src/gateway/controller/order_queue.h
@@ -116,6 +116,9 @@
 
     /// Takes an order. `takeReplies` gives its one reply, now or later.
     void submit(Micros now, OrderId id, std::string change);
+    /// Takes an order that its caller has found to be invalid on any version. It never enters the log: a
+    /// member in contact with a majority answers `invalid`, any other answers as for a valid order.
+    void submitInvalid(Micros now, OrderId id);
     /// Takes a linearizable read, answered like an order.
     void read(Micros now, OrderId id);
 
@@ -145,9 +148,11 @@
     [[nodiscard]] bool inContact(Micros now) const;
 
 private:
+    enum class CallKind { order, invalidOrder, read };
     struct Call {
         OrderId id = 0;
-        std::optional<std::string> change;  // empty for a read
+        CallKind kind = CallKind::read;
+        std::string change;  // of an order
     };
     struct WaitingCall {  // no leader is known yet
         Call call;
--- a/src/gateway/controller/orders.cpp
+++ b/src/gateway/controller/orders.cpp
@@ -30,6 +30,11 @@
     orders_->submit(steadyNow(), lastOrderId_, std::move(change));
 }
 
+void Controller::refuse(Reply refusal, std::string description, ReplyCallback sendReply) {
+    pendingCalls_[++lastOrderId_] = {std::move(sendReply), std::move(description), std::move(refusal)};
+    orders_->submitInvalid(steadyNow(), lastOrderId_);
+}
+
 void Controller::read(ReplyCallback sendReply) {
     pendingCalls_[++lastOrderId_] = {std::move(sendReply), "read"};
     orders_->read(steadyNow(), lastOrderId_);
@@ -70,7 +75,8 @@
                        {"why", rejected ? nameOf(reply.outcome) : textOf(reply.reason)},
                        {"current", configurations_.configuration().version}});
         }
-        call.sendReply(replyOf(reply));
+        const bool hasRefusal = reply.outcome == OrderOutcome::invalid && call.refusal;
+        call.sendReply(hasRefusal ? *call.refusal : replyOf(reply));
     }
 }
 
--- a/tests/gateway/order_queue_test.cpp
+++ b/tests/gateway/order_queue_test.cpp
@@ -67,6 +67,30 @@
     CHECK(queue.pending() == 0);
 }
 
+// Guards against an order that enters the log although its caller could not read it.
+TEST_CASE_METHOD(Fixture, "An order known to be invalid never enters the log, and is refused only in contact",
+                 "[orders]") {
+    queue.submitInvalid(0, 1);
+    CHECK(onlyReply().outcome == OrderOutcome::invalid);
+
+    // Before the first contact it waits, as a valid order does.
+    log.contactAt = -1;
+    log.isLeader = false;
+    log.knownLeader.reset();
+    queue.submitInvalid(kSecond, 2);
+    CHECK(queue.takeReplies().empty());
+    log.contactAt = kSecond;
+    log.isLeader = true;
+    queue.update(kSecond + 1);
+    CHECK(onlyReply().outcome == OrderOutcome::invalid);
+
+    // Cut off, it is not refused.
+    log.isLeader = false;
+    queue.submitInvalid(20 * kSecond, 3);
+    expectOnlyUnavailable(UnavailableReason::noQuorumContact);
+    CHECK(log.last == 10);
+}
+
 TEST_CASE_METHOD(Fixture, "An entry of another term at the order's index leaves the order unavailable",
                  "[orders]") {
     queue.submit(0, 1, "order");
--- a/tests/gateway/untrusted_input_test.cpp
+++ b/tests/gateway/untrusted_input_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "gateway/configuration/configuration_store.h"
 #include "gateway/raft/store.h"
@@ -59,6 +60,16 @@
         REQUIRE(store.ok());
         return std::move(*store);
     }
+    // The changes in the log of a process that has ended.
+    [[nodiscard]] std::vector<std::string> changesInLog() const {
+        std::vector<std::string> out;
+        const auto stored = openLog()->load();
+        REQUIRE(stored.ok());
+        for (const auto& entry : stored->entries) {
+            if (entry.kind() == gateway::proto::Entry::CHANGE) out.push_back(entry.data());
+        }
+        return out;
+    }
     // Adds a change as the last entry to the log of a process that has ended.
     void appendToLog(const std::string& change) const {
         const auto store = openLog();
@@ -96,6 +107,21 @@
     CHECK(status(kBeat, deep(kHeartbeat)) == "200");
 }
 
+// Guards against an order that enters the replicated log without being read, as one sent right after a start
+// was.
+TEST_CASE_METHOD(Fixture, "An invalid order sent from the start on gets 400 and leaves no entry in the log") {
+    acknowledgeConfiguration();
+    for (const std::string& invalid : {cutShort(configuration(6, 4)), configuration(6, 4).substr(0, 40)}) {
+        controller.kill();
+        controller.restart();
+        CHECK(status(kReplace, invalid) == "400");
+    }
+    requireAcknowledgedConfiguration();
+    controller.kill();
+    const std::vector<std::string> acknowledged = {configuration::replaceChange(configuration(4, 0))};
+    CHECK((changesInLog() == acknowledged));  // too long to be printed
+}
+
 // Guards against a controller that ends at each start on an entry that an earlier release has put into its
 // log.
 TEST_CASE_METHOD(Fixture,
