--- a/src/gateway/registry/registry.cpp
+++ b/src/gateway/registry/registry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/json/json.h"
+
 namespace marldale::registry {
 namespace {
 
@@ -16,6 +18,12 @@
            before.free_places() != after.free_places() || before.address() != after.address();
 }
 
+// Whether others can be told of the server: messages to edge proxies carry UTF-8 only.
+bool isReadable(const proto::Server& report) {
+    return !report.id().empty() && json::isUtf8(report.id()) && json::isUtf8(report.service()) &&
+           json::isUtf8(report.address()) && json::isUtf8(report.zone()) && json::isUtf8(report.version());
+}
+
 }  // namespace
 
 void Registry::recordChange(const std::string& id) {
@@ -24,7 +32,7 @@
 }
 
 Registry::ReportEffect Registry::applyReport(Micros now, const proto::Server& report) {
-    if (report.id().empty() || departed_.count(report.id()) != 0) return ReportEffect::none;
+    if (!isReadable(report) || departed_.count(report.id()) != 0) return ReportEffect::none;
     const Micros at = now - std::max<Micros>(0, report.heard_ago());
     if (report.gone()) return signOff(report.id(), at, now);
     const auto known = servers_.find(report.id());
@@ -100,7 +108,7 @@
 }
 
 void Registry::restore(Micros now, const proto::Server& report, Micros ago) {
-    if (report.id().empty() || report.gone() || departed_.count(report.id()) != 0) return;
+    if (!isReadable(report) || report.gone() || departed_.count(report.id()) != 0) return;
     if (servers_.count(report.id()) != 0 || byAddress_.count(report.address()) != 0) return;
     Server& server = servers_[report.id()];
     server.report = report;
--- a/src/gateway/registry/registry.h
+++ b/src/gateway/registry/registry.h
@@ -55,7 +55,7 @@
         urgent,  // the server is emptying or gone: must be passed on before the report is answered
     };
     /// Applies a heartbeat or sign-off (`gone`), received from the server or from another controller (then
-    /// `heard_ago` is its age).
+    /// `heard_ago` is its age). A report without an id, or with a text that is not UTF-8, has no effect.
     ReportEffect applyReport(Micros now, const proto::Server& report);
     /// Restores a server from the disk of an earlier run, written `ago` by the time of day. It is removed
     /// unless it sends a heartbeat soon, and assumed cold until then if the report is too old to tell. Never
--- a/tests/gateway/registry_test.cpp
+++ b/tests/gateway/registry_test.cpp
@@ -22,6 +22,28 @@
 
 }  // namespace
 
+// Guards against a server whose name no message to an edge proxy can carry, so that each breaks its link.
+TEST_CASE("A report with a text that is not UTF-8 has no effect, wherever it comes from", "[registry]") {
+    proto::ServerUpdates updates;
+    *updates.add_servers() = heartbeat("i-\xff", 1);
+    *updates.add_servers() = heartbeat("i", 1, "10.0.0.2:80");
+    updates.mutable_servers(1)->set_service("a\xc3");
+    *updates.add_servers() = heartbeat("good", 1, "10.0.0.3:80");
+    proto::ServerUpdates received;
+    REQUIRE(received.ParseFromString(updates.SerializeAsString()));
+    Registry registry({});
+    for (const proto::Server& server : received.servers()) {
+        registry.applyReport(kSecond, server);
+        registry.restore(kSecond, server, 0);
+    }
+    auto gone = heartbeat("i-\xff", 2);
+    gone.set_gone(true);
+    CHECK(registry.applyReport(kSecond, gone) == Registry::ReportEffect::none);
+    CHECK(registry.servers().size() == 1);
+    CHECK(registry.servers().count("good") == 1);
+    CHECK(registry.departed().empty());
+}
+
 TEST_CASE("A delayed heartbeat changes nothing", "[registry]") {
     Registry registry({});
     CHECK(registry.applyReport(kSecond, heartbeat("i", 4)) == Registry::ReportEffect::changed);
--- a/tests/gateway/untrusted_input_test.cpp
+++ b/tests/gateway/untrusted_input_test.cpp
@@ -107,6 +107,15 @@
     CHECK(status(kBeat, deep(kHeartbeat)) == "200");
 }
 
+// Guards against a heartbeat or sign-off that breaks every link on which it is passed on.
+TEST_CASE_METHOD(Fixture, "A server's text that is not UTF-8 gets 400") {
+    controller.awaitEvent("ready");
+    CHECK(status("/-/Servers.Beat/i-\xff", kHeartbeat) == "400");
+    CHECK(status("/-/Servers.Leave/i-\xff", "") == "400");
+    CHECK(status(kBeat, R"({"service":"\u00e9","address":"127.0.0.1:8080","zone":"north"})") == "200");
+    CHECK(status(kBeat, "{\"service\":\"\xe9\",\"address\":\"127.0.0.1:8080\",\"zone\":\"north\"}") == "400");
+}
+
 // Guards against an order that enters the replicated log without being read, as one sent right after a start
 // was.
 TEST_CASE_METHOD(Fixture, "An invalid order sent from the start on gets 400 and leaves no entry in the log") {
