--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -46,7 +46,7 @@
 
 gateway_package(log PkgConfig::LOG4CXX)
 gateway_package(json absl::status absl::strings)
-gateway_package(settings PkgConfig::YAML absl::status absl::statusor absl::strings)
+gateway_package(settings gateway_json PkgConfig::YAML absl::status absl::statusor absl::strings)
 gateway_package(raft PkgConfig::LMDB PkgConfig::XXHASH absl::status absl::statusor Threads::Threads)
 gateway_package(configuration gateway_json gateway_settings PkgConfig::XXHASH absl::status absl::statusor)
 gateway_package(registry gateway_json gateway_settings absl::status absl::statusor)
--- a/src/gateway/settings/settings.cpp
+++ b/src/gateway/settings/settings.cpp
@@ -12,6 +12,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "gateway/json/json.h"
 
 namespace marldale::settings {
 namespace {
@@ -36,20 +37,47 @@
  }
 })";
 
-// YAML's scalars have no types of their own: a plain true, false or number is one, anything quoted is text.
-rapidjson::Value valueOf(const YAML::Node& node, rapidjson::Document::AllocatorType& memory) {
-    rapidjson::Value out;
-    if (node.IsMap()) {
+// Converts YAML to JSON. An alias may stand inside of what it stands for, or stand for many values at once,
+// so the depth and the number of the values are limited.
+class YamlConverter {
+public:
+    explicit YamlConverter(rapidjson::Document::AllocatorType& memory) : memory_(memory) {}
+
+    absl::Status convert(const YAML::Node& node, rapidjson::Value& out, unsigned depth = 1) {
+        if (depth > kMaxDepth) return absl::InvalidArgumentError("settings nest too deeply");
+        if (++values_ > kMaxValues) return absl::InvalidArgumentError("settings have too many values");
+        if (node.IsMap()) return convertMap(node, out, depth);
+        if (node.IsSequence()) return convertSequence(node, out, depth);
+        if (node.IsScalar()) return convertScalar(node, out);
+        return absl::OkStatus();
+    }
+
+private:
+    static constexpr unsigned kMaxDepth = 64;
+    static constexpr std::size_t kMaxValues = 100000;
+
+    absl::Status convertMap(const YAML::Node& node, rapidjson::Value& out, unsigned depth) {
         out.SetObject();
         for (const auto& entry : node) {
-            const std::string name = entry.first.Scalar();
-            out.AddMember(rapidjson::Value(name.c_str(), static_cast<unsigned>(name.size()), memory),
-                          valueOf(entry.second, memory), memory);
+            rapidjson::Value name, value;
+            if (auto s = convertText(entry.first.Scalar(), name); !s.ok()) return s;
+            if (auto s = convert(entry.second, value, depth + 1); !s.ok()) return s;
+            out.AddMember(name, value, memory_);
         }
-    } else if (node.IsSequence()) {
+        return absl::OkStatus();
+    }
+    absl::Status convertSequence(const YAML::Node& node, rapidjson::Value& out, unsigned depth) {
         out.SetArray();
-        for (const YAML::Node& item : node) out.PushBack(valueOf(item, memory), memory);
-    } else if (node.IsScalar()) {
+        for (const YAML::Node& item : node) {
+            rapidjson::Value value;
+            if (auto s = convert(item, value, depth + 1); !s.ok()) return s;
+            out.PushBack(value, memory_);
+        }
+        return absl::OkStatus();
+    }
+    // YAML's scalars have no types of their own: a plain true, false or number is one, anything quoted is
+    // text.
+    absl::Status convertScalar(const YAML::Node& node, rapidjson::Value& out) {
         const std::string& text = node.Scalar();
         std::int64_t whole = 0;
         double number = 0;
@@ -61,11 +89,20 @@
         } else if (!quoted && absl::SimpleAtod(text, &number)) {
             out.SetDouble(number);
         } else {
-            out.SetString(text.c_str(), static_cast<unsigned>(text.size()), memory);
+            return convertText(text, out);
         }
+        return absl::OkStatus();
     }
-    return out;
-}
+    // Names of nodes and zones go to other processes, whose messages carry UTF-8 only.
+    absl::Status convertText(const std::string& text, rapidjson::Value& out) {
+        if (!json::isUtf8(text)) return absl::InvalidArgumentError("settings have a text that is not UTF-8");
+        out.SetString(text.c_str(), static_cast<unsigned>(text.size()), memory_);
+        return absl::OkStatus();
+    }
+
+    rapidjson::Document::AllocatorType& memory_;
+    std::size_t values_ = 0;
+};
 
 const rapidjson::Value* find(const rapidjson::Value& from, const char* key) {
     if (!from.IsObject()) return nullptr;
@@ -206,8 +243,7 @@
 absl::StatusOr<Settings> parse(const std::string& yaml) {
     rapidjson::Document json;
     try {
-        const rapidjson::Value value = valueOf(YAML::Load(yaml), json.GetAllocator());
-        json.CopyFrom(value, json.GetAllocator());
+        if (auto s = YamlConverter(json.GetAllocator()).convert(YAML::Load(yaml), json); !s.ok()) return s;
     } catch (const YAML::Exception& wrong) {
         return absl::InvalidArgumentError(absl::StrCat("settings are no YAML: ", wrong.what()));
     }
--- a/tests/gateway/gateway_process.h
+++ b/tests/gateway/gateway_process.h
@@ -111,6 +111,8 @@
     }
 
     void signal(int number) const { ::kill(pid_, number); }
+    // Puts this text into the settings file, without a signal.
+    void replaceSettings(const std::string& text) const { std::ofstream(settingsPath_) << text; }
     void giveSettings() const {
         const auto size = static_cast<ssize_t>(settingsText_.size());
         REQUIRE(::write(settingsPipe_, settingsText_.data(), settingsText_.size()) == size);
--- a/tests/gateway/untrusted_input_test.cpp
+++ b/tests/gateway/untrusted_input_test.cpp
@@ -116,6 +116,18 @@
     CHECK(status(kBeat, "{\"service\":\"\xe9\",\"address\":\"127.0.0.1:8080\",\"zone\":\"north\"}") == "400");
 }
 
+// Guards against a process that ends when it rereads settings that changed.
+TEST_CASE("Settings that nobody can read leave the process as it was") {
+    const std::string role = GENERATE("controller", "edge-proxy");
+    GatewayProcess program(role);
+    program.awaitEvent("ready");
+    program.replaceSettings("node_name: &a [*a]\n");
+    program.signal(SIGHUP);
+    program.awaitEvent("settings_refused");
+    program.signal(SIGTERM);
+    CHECK(program.awaitEnd() == 0);
+}
+
 // Guards against an order that enters the replicated log without being read, as one sent right after a start
 // was.
 TEST_CASE_METHOD(Fixture, "An invalid order sent from the start on gets 400 and leaves no entry in the log") {
