--- a/tools/soak_run/processes.py
+++ b/tools/soak_run/processes.py
@@ -74,6 +74,8 @@
         self.controllers = [Process("controller", k, f"127.1.{k // 200}.{k % 200 + 1}") for k in range(controllers)]
         self.proxies = [Process("edge-proxy", k, f"127.2.{k // 200}.{k % 200 + 1}") for k in range(proxies)]
         self.started: set[str] = set()
+        self.closing = False
+        self.unexpected_ends: list[str] = []
 
     def port(self, offset: int) -> int:
         """A port of this soak."""
@@ -115,6 +117,13 @@
         process.child = child
         process.terminated_at = None
         process.killed = False
+        asyncio.get_running_loop().create_task(self._watch(process, child))
+
+    async def _watch(self, process: Process, child: asyncio.subprocess.Process) -> None:
+        """Notes an end that no signal asked for."""
+        status = await child.wait()
+        if process.child is child and process.terminated_at is None and not process.killed and not self.closing:
+            self.unexpected_ends.append(f"{process.name} ended by itself with {status}")
 
     @staticmethod
     def signal(process: Process, number: signal.Signals, now: float) -> None:
@@ -142,6 +151,7 @@
 
     async def close(self, keep: bool) -> None:
         """Kills what still runs; removes the folder, unless its logs are wanted."""
+        self.closing = True
         for process in self.all():
             if process.running and process.child is not None:
                 process.child.kill()
