--- a/tests/gateway/untrusted_input_test.cpp
+++ b/tests/gateway/untrusted_input_test.cpp
@@ -98,6 +98,14 @@
     CHECK(status(kReplace, deep(configuration(6, 4))) == "200");
 }
 
+// Guards against a configuration of which only the part before a NUL is read.
+TEST_CASE_METHOD(Fixture, "A configuration that goes on after a NUL gets 400") {
+    acknowledgeConfiguration();
+    CHECK(status(kReplace, configuration(6, 4) + std::string(1, '\0') + "more") == "400");
+    CHECK(status(kReplace, configuration(6, 4) + std::string(1, '\0')) == "400");
+    requireAcknowledgedConfiguration();
+}
+
 // Guards against a controller that ends on a heartbeat that nests deeply.
 TEST_CASE_METHOD(Fixture, "A heartbeat that nests deeply is answered and ends no controller") {
     controller.awaitEvent("ready");
