--- a/src/gateway/configuration/schema.cpp
+++ b/src/gateway/configuration/schema.cpp
@@ -1,10 +1,9 @@
 #include "gateway/configuration/schema.h"
 
-#include <rapidjson/schema.h>
-#include <rapidjson/stringbuffer.h>
-
 #include <string_view>
 
+#include "gateway/json/json.h"
+
 namespace marldale::configuration {
 namespace {
 
@@ -46,15 +45,6 @@
  }
 })";
 
-const rapidjson::SchemaDocument& schema() {
-    static const rapidjson::SchemaDocument document = [] {
-        rapidjson::Document rules;
-        rules.Parse(kSchema);
-        return rapidjson::SchemaDocument(rules);
-    }();
-    return document;
-}
-
 // ---- Handwritten check ----
 
 using rapidjson::Value;
@@ -163,11 +153,8 @@
 }
 
 std::string schemaViolation(const Value& document) {
-    rapidjson::SchemaValidator validator(schema());
-    if (document.Accept(validator)) return {};
-    rapidjson::StringBuffer place;
-    validator.GetInvalidDocumentPointer().StringifyUriFragment(place);
-    return std::string(place.GetString()) + ": breaks the rule '" + validator.GetInvalidSchemaKeyword() + "'";
+    static const json::Schema schema(kSchema);
+    return schema.violation(document);
 }
 
 }  // namespace marldale::configuration
--- a/src/gateway/controller/calls_servers.cpp
+++ b/src/gateway/controller/calls_servers.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 void beat(Controller& controller, const Request& request, ReplyCallback sendReply) {
-    auto server = registry::parseHeartbeat(request.argument, request.body);
+    const auto server = registry::parseHeartbeat(request.argument, request.body);
     if (!server.ok()) return sendReply(problemReply(400, std::string(server.status().message())));
-    controller.beat(std::move(*server), std::move(sendReply));
+    controller.beat(*server, std::move(sendReply));
 }
 
 void leave(Controller& controller, const Request& request, ReplyCallback sendReply) {
--- a/src/gateway/controller/controller.h
+++ b/src/gateway/controller/controller.h
@@ -56,7 +56,7 @@
 
     // ---- handlers of the HTTP calls ----
     /// Takes a server's heartbeat. A departure is answered once it is acknowledged.
-    void beat(proto::Server server, ReplyCallback sendReply);
+    void beat(const proto::Server& server, ReplyCallback sendReply);
     /// Signs a server off; answered once its departure is acknowledged.
     void leave(const std::string& id, ReplyCallback sendReply);
     /// Submits an order to the log; answered once its verdict is known. `description` names the order in the
--- a/src/gateway/controller/departures.cpp
+++ b/src/gateway/controller/departures.cpp
@@ -66,6 +66,7 @@
     const DepartureAcks::RequestNumber number = ++lastDepartureRequest_;
     std::vector<PendingDeparture> departures = std::exchange(newDepartures_, {});
     std::vector<std::string> ids;
+    ids.reserve(departures.size());
     for (const PendingDeparture& departure : departures) ids.push_back(departure.id);
     proto::Frame frame = updatesFrame(ids, false, now);
     frame.mutable_updates()->set_number(number);
--- a/src/gateway/controller/server_updates.cpp
+++ b/src/gateway/controller/server_updates.cpp
@@ -112,7 +112,7 @@
     log::info("servers_recalled", {{"servers", registry_.servers().size()}, {"same_boot", sameBoot}});
 }
 
-void Controller::beat(proto::Server server, ReplyCallback sendReply) {
+void Controller::beat(const proto::Server& server, ReplyCallback sendReply) {
     const Micros now = steadyNow();
     const auto effect = registry_.applyReport(now, server);
     if (effect != registry::Registry::ReportEffect::none) updatesDue_.insert(server.id());
@@ -132,7 +132,7 @@
     if (found != registry_.servers().end()) server = found->second.report;
     server.set_id(id);
     server.set_gone(true);
-    beat(std::move(server), std::move(sendReply));
+    beat(server, std::move(sendReply));
 }
 
 Micros Controller::maxDelayOf(const Link* link) const {
--- a/src/gateway/edge_proxy/termination.cpp
+++ b/src/gateway/edge_proxy/termination.cpp
@@ -10,7 +10,6 @@
 namespace marldale::edge_proxy {
 namespace {
 
-using forwarding::NextStep;
 using http_server::ClientConnection;
 
 constexpr Micros kFlushCheckInterval = 20000;
--- a/src/gateway/json/json.cpp
+++ b/src/gateway/json/json.cpp
@@ -3,6 +3,7 @@
 #include <rapidjson/error/en.h>
 #include <rapidjson/memorystream.h>
 #include <rapidjson/reader.h>
+#include <rapidjson/stringbuffer.h>
 
 #include "absl/strings/str_cat.h"
 
@@ -91,6 +92,21 @@
         absl::StrCat("byte ", result.Offset(), ": ", rapidjson::GetParseError_En(result.Code())));
 }
 
+Schema::Schema(const char* text)
+    : schema_([text] {
+          rapidjson::Document document;
+          document.Parse(text);
+          return rapidjson::SchemaDocument(document);
+      }()) {}
+
+std::string Schema::violation(const rapidjson::Value& document) const {
+    rapidjson::SchemaValidator validator(schema_);
+    if (document.Accept(validator)) return {};
+    rapidjson::StringBuffer place;
+    validator.GetInvalidDocumentPointer().StringifyUriFragment(place);
+    return absl::StrCat(place.GetString(), ": breaks the rule '", validator.GetInvalidSchemaKeyword(), "'");
+}
+
 bool isUtf8(std::string_view text) {
     rapidjson::MemoryStream stream(text.data(), text.size());
     struct {
--- a/src/gateway/json/json.h
+++ b/src/gateway/json/json.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <rapidjson/document.h>
+#include <rapidjson/schema.h>
 
 #include <string>
 #include <string_view>
@@ -23,6 +24,18 @@
 /// offset in bytes if the text is not valid JSON in UTF-8.
 [[nodiscard]] absl::Status parse(std::string_view text, std::string& buffer, rapidjson::Document& document);
 
+/// A JSON schema and RapidJSON's validator for it.
+class Schema {
+public:
+    /// Takes the schema's text, which must be valid.
+    explicit Schema(const char* text);
+    /// Returns the location and the rule that the document violates; empty if it matches.
+    [[nodiscard]] std::string violation(const rapidjson::Value& document) const;
+
+private:
+    rapidjson::SchemaDocument schema_;
+};
+
 /// Returns whether the text is valid UTF-8, as string fields of protocol buffers must be.
 [[nodiscard]] bool isUtf8(std::string_view text);
 
--- a/src/gateway/registry/heartbeat.cpp
+++ b/src/gateway/registry/heartbeat.cpp
@@ -1,8 +1,5 @@
 #include "gateway/registry/heartbeat.h"
 
-#include <rapidjson/schema.h>
-#include <rapidjson/stringbuffer.h>
-
 #include "absl/strings/str_cat.h"
 #include "gateway/json/json.h"
 #include "gateway/settings/settings.h"
@@ -24,24 +21,6 @@
  }
 })";
 
-const rapidjson::SchemaDocument& heartbeatSchema() {
-    static const rapidjson::SchemaDocument schema = [] {
-        rapidjson::Document document;
-        document.Parse(kHeartbeatSchema);
-        return rapidjson::SchemaDocument(document);
-    }();
-    return schema;
-}
-
-absl::Status checkSchema(const rapidjson::Document& heartbeat) {
-    rapidjson::SchemaValidator validator(heartbeatSchema());
-    if (heartbeat.Accept(validator)) return absl::OkStatus();
-    rapidjson::StringBuffer pointer;
-    validator.GetInvalidDocumentPointer().StringifyUriFragment(pointer);
-    return absl::InvalidArgumentError(
-        absl::StrCat(pointer.GetString(), " breaks the rule '", validator.GetInvalidSchemaKeyword(), "'"));
-}
-
 std::string textOf(const rapidjson::Value& value) { return {value.GetString(), value.GetStringLength()}; }
 
 }  // namespace
@@ -54,12 +33,13 @@
     return absl::OkStatus();
 }
 
-absl::StatusOr<proto::Server> parseHeartbeat(const std::string& id, std::string_view json) {
+absl::StatusOr<proto::Server> parseHeartbeat(const std::string& id, std::string_view text) {
     if (auto s = checkServerId(id); !s.ok()) return s;
     std::string buffer;
     rapidjson::Document heartbeat;
-    if (auto s = json::parse(json, buffer, heartbeat); !s.ok()) return s;
-    if (auto s = checkSchema(heartbeat); !s.ok()) return s;
+    if (auto s = json::parse(text, buffer, heartbeat); !s.ok()) return s;
+    static const json::Schema schema(kHeartbeatSchema);
+    if (auto wrong = schema.violation(heartbeat); !wrong.empty()) return absl::InvalidArgumentError(wrong);
     proto::Server server;
     server.set_id(id);
     server.set_service(textOf(heartbeat["service"]));
--- a/src/gateway/registry/heartbeat.h
+++ b/src/gateway/registry/heartbeat.h
@@ -20,6 +20,6 @@
 
 /// Reads a heartbeat of the server `id` from JSON; returns InvalidArgument with the location and the violated
 /// rule if it is invalid.
-[[nodiscard]] absl::StatusOr<proto::Server> parseHeartbeat(const std::string& id, std::string_view json);
+[[nodiscard]] absl::StatusOr<proto::Server> parseHeartbeat(const std::string& id, std::string_view text);
 
 }  // namespace marldale::registry
--- a/src/gateway/settings/settings.cpp
+++ b/src/gateway/settings/settings.cpp
@@ -1,8 +1,6 @@
 #include "gateway/settings/settings.h"
 
 #include <rapidjson/document.h>
-#include <rapidjson/schema.h>
-#include <rapidjson/stringbuffer.h>
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
@@ -161,19 +159,6 @@
 
 namespace {
 
-// Whether the settings are as the schema says.
-absl::Status validate(const rapidjson::Document& json) {
-    rapidjson::Document rules;
-    rules.Parse(kSchema);
-    const rapidjson::SchemaDocument schema(rules);
-    rapidjson::SchemaValidator validator(schema);
-    if (json.Accept(validator)) return absl::OkStatus();
-    rapidjson::StringBuffer where;
-    validator.GetInvalidDocumentPointer().StringifyUriFragment(where);
-    return absl::InvalidArgumentError(absl::StrCat("settings ", where.GetString(), ": breaks the rule '",
-                                                   validator.GetInvalidSchemaKeyword(), "'"));
-}
-
 // Who this process is and where.
 void readIdentity(const rapidjson::Value& json, Settings& out) {
     out.node = text(json, "node_name");
@@ -247,7 +232,9 @@
     } catch (const YAML::Exception& wrong) {
         return absl::InvalidArgumentError(absl::StrCat("settings are no YAML: ", wrong.what()));
     }
-    if (auto status = validate(json); !status.ok()) return status;
+    static const json::Schema schema(kSchema);
+    if (const auto wrong = schema.violation(json); !wrong.empty())
+        return absl::InvalidArgumentError(absl::StrCat("settings ", wrong));
     Settings out;
     readIdentity(json, out);
     if (auto status = readAddresses(json, out); !status.ok()) return status;
--- a/tests/gateway/controller_departure_test.cpp
+++ b/tests/gateway/controller_departure_test.cpp
@@ -1,7 +1,5 @@
 // A real controller over loopback with a scripted edge proxy on its inside port. Guards against a departure
 // being acknowledged while an edge proxy still sends requests to the server (incident DRAIN, issue 39).
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +13,7 @@
 #include <optional>
 #include <string>
 
+#include "free_port.h"
 #include "gateway/controller/calls.h"
 #include "gateway/controller/controller.h"
 #include "gateway/settings/contact_limits.h"
@@ -35,18 +34,6 @@
     R"("action":{"service":"catalogue","give_up":"2000ms","tries":2}}]}],"groups":[{"name":"catalogue",)"
     R"("health_path":"/health","max_connections":100,"warm_up":"3s","cold_per_s":20}]})";
 
-unsigned short freePort(int type) {
-    const int socket = ::socket(AF_INET, type, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    ::close(socket);
-    return ntohs(address.sin_port);
-}
-
 // A data directory that is removed at the end of the test.
 struct TemporaryDirectory {
     std::filesystem::path path =
@@ -66,8 +53,8 @@
     out.ip = "127.0.0.1";
     out.zone = "z";
     out.zones = {{"z", "r"}};
-    out.control = "127.0.0.1:" + std::to_string(freePort(SOCK_STREAM));
-    out.portFirst = out.portLast = freePort(SOCK_STREAM);
+    out.control = "127.0.0.1:" + std::to_string(tests::freePort(SOCK_STREAM));
+    out.portFirst = out.portLast = tests::freePort(SOCK_STREAM);
     out.seeds = {out.control};
     out.firstRun = true;
     out.dataFolder = directory.path.string();
--- a/tests/gateway/gateway_process.h
+++ b/tests/gateway/gateway_process.h
@@ -18,20 +18,9 @@
 #include <sstream>
 #include <string>
 
-namespace marldale::program {
+#include "free_port.h"
 
-// A port of loopback that nobody listens on now.
-inline unsigned short freePort() {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    REQUIRE(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    ::close(socket);
-    return ntohs(address.sin_port);
-}
+namespace marldale::program {
 
 /// The program; its log output is read through a pipe.
 class GatewayProcess {
@@ -154,7 +143,7 @@
         log_ = ends[0];
     }
     [[nodiscard]] std::string settingsOf(const std::string& role) {
-        controlPort_ = freePort();
+        controlPort_ = tests::freePort(SOCK_STREAM);
         const std::string port = std::to_string(controlPort_);
         const unsigned inside = insidePort();
         std::ostringstream out;
@@ -162,7 +151,8 @@
         if (role == "controller") {
             out << "  control: \"127.0.0.1:" << port << "\"\ndata_folder: \"" << folder_ << "\"\n";
         } else {
-            out << "  front: \"127.0.0.1:" << port << "\"\n  readiness: \"127.0.0.1:" << freePort() << "\"\n";
+            out << "  front: \"127.0.0.1:" << port
+                << "\"\n  readiness: \"127.0.0.1:" << tests::freePort(SOCK_STREAM) << "\"\n";
         }
         out << "zone: \"north\"\nregion: \"home\"\nzones:\n  north: \"home\"\n"
             << "inside_ports: [" << inside << ", " << inside + 50 << "]\n"
