--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -57,7 +57,7 @@
 gateway_package(forwarding gateway_upstream marldale_attempts absl::status)
 gateway_package(http_server gateway_upstream Boost::headers absl::status)
 gateway_package(edge_proxy gateway_settings gateway_log PkgConfig::XXHASH gateway_http_server gateway_forwarding gateway_upstream gateway_transport gateway_gossip)
-gateway_package(controller gateway_json gateway_settings gateway_log gateway_raft gateway_configuration gateway_registry gateway_distribution gateway_transport gateway_gossip)
+gateway_package(controller gateway_settings gateway_log gateway_raft gateway_configuration gateway_registry gateway_distribution gateway_transport gateway_gossip)
 
 file(GLOB program_sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/gateway/program/*.cpp)
 list(FILTER program_sources EXCLUDE REGEX "main\\.cpp$")
--- a/src/gateway/controller/calls_operator.cpp
+++ b/src/gateway/controller/calls_operator.cpp
@@ -10,7 +10,7 @@
 void replaceSettings(Controller& controller, const Request& request, ReplyCallback sendReply) {
     // Refused here and not by the parser: a log may hold such a text that was acknowledged.
     if (const auto nul = request.body.find('\0'); nul != std::string::npos) {
-        return controller.refuse(problemReply(400, absl::StrCat("byte ", nul, ": the text ends in a NUL")),
+        return controller.refuse(problemReply(400, absl::StrCat("byte ", nul, ": no JSON text has a NUL")),
                                  "invalid configuration", std::move(sendReply));
     }
     const auto read = configuration::parseConfigurationCached(request.body);
--- a/src/gateway/json/json.cpp
+++ b/src/gateway/json/json.cpp
@@ -79,8 +79,7 @@
 }  // namespace
 
 absl::Status parse(std::string_view text, std::string& buffer, rapidjson::Document& document) {
-    // The recursive parser takes two thirds of the time. The handler ends it where the text is too deep for
-    // it.
+    // The recursive parser is the faster one; the limiter ends it where the text is too deep for it.
     buffer = text;
     auto result = parseInPlace<rapidjson::kParseNoFlags, TooDeep::terminates>(buffer, document);
     if (result.Code() == rapidjson::kParseErrorTermination) {
--- a/src/gateway/registry/heartbeat.h
+++ b/src/gateway/registry/heartbeat.h
@@ -11,7 +11,8 @@
 
 namespace proto = gateway::proto;
 
-/// The most bytes of a server's identifier.
+/// The most bytes of a server's identifier; bounded like its other names, because a frame carries many
+/// servers.
 constexpr std::size_t kMaxServerIdBytes = 200;
 
 /// Checks the identifier of a server, as it stands in the path of a call. Returns InvalidArgument with the
